--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -24,6 +24,7 @@
 type RootCmd struct {
 	Attendant AttendantCmd `cmd:"" help:"Serve the endpoints of one instance, as the only door to them."`
 	Entry     EntryCmd     `cmd:"" help:"Serve callers and trainers behind the platform's balancer."`
+	Platform  PlatformCmd  `cmd:"" help:"Run a role on the users' platform, by the settings file that it writes."`
 	Profile   ProfileCmd   `cmd:"" help:"Check, compare and change what is in force."`
 	StandIn   StandInCmd   `cmd:"" help:"Stand in for a system outside, for trials and tests." name:"stand-in"`
 	Status    StatusCmd    `cmd:"" help:"Show what one process or all of them hold."`
--- /dev/null
+++ b/cmd/platformattendantcmd.go
@@ -0,0 +1,42 @@
+package cmd
+
+import (
+	"context"
+
+	"go.uber.org/fx"
+
+	"wisteriacroft/forward"
+	"wisteriacroft/message"
+	"wisteriacroft/peer"
+	"wisteriacroft/platform"
+	"wisteriacroft/runner"
+)
+
+// A PlatformAttendantCmd runs an attendant on the platform.
+type PlatformAttendantCmd struct{}
+
+// Run serves until ctx ends.
+func (*PlatformAttendantCmd) Run(ctx context.Context, out Output) error {
+	ho, err := newHost("attendant", out.Stdout)
+	if err != nil {
+		return err
+	}
+	return ho.run(ctx, fx.Invoke(ho.startAttendant))
+}
+
+// startAttendant builds an attendant.
+func (ho *host) startAttendant(lc fx.Lifecycle) {
+	rn := &runner.Runner{
+		Engine:  platform.NewEngine(ho.settings.EngineAddress, ho.settings.Instance, forward.NewHTTPClient()),
+		Log:     ho.log,
+		Metrics: ho.metrics,
+	}
+	var ps peer.Server
+	peer.Handle(&ps, runner.ExchangeMethod,
+		func(ctx context.Context, _ message.Header, rq runner.ExchangeRequest) (runner.ExchangeResponse, error) {
+			return rn.Exchange(ctx, rq)
+		})
+	background(lc, rn.Run)
+	ho.serveMetrics(lc)
+	ho.servePeers(lc, &ps)
+}
--- /dev/null
+++ b/cmd/platformentrycmd.go
@@ -0,0 +1,120 @@
+package cmd
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/fx"
+
+	"wisteriacroft/forward"
+	"wisteriacroft/platform"
+	roleprocess "wisteriacroft/process"
+	"wisteriacroft/retry"
+	"wisteriacroft/step"
+)
+
+const (
+	// linger is how long an entry that is to stop still takes connections: the
+	// balancer asks each second and believes the second refusal.
+	linger = 3500 * time.Millisecond
+	// drainEvery is how often a stopping entry looks whether it is idle.
+	drainEvery = 50 * time.Millisecond
+	// stepRetry is when a trainer may come back whose step was refused: an
+	// outage of the key-value service takes seconds, and another entry may
+	// reach it at once.
+	stepRetry = 300 * time.Millisecond
+	// expireEvery is how often what concerns endpoints that are gone is closed.
+	expireEvery = time.Second
+	// attemptRatio and attemptBurst bound attempts beyond the first: one for
+	// each five requests, so that an overload isn't doubled, and some at once
+	// when an endpoint fails under all that it serves.
+	attemptRatio = 0.2
+	attemptBurst = 30
+)
+
+// A PlatformEntryCmd runs an entry on the platform.
+type PlatformEntryCmd struct{}
+
+// Run serves until ctx ends.
+func (*PlatformEntryCmd) Run(ctx context.Context, out Output) error {
+	ho, err := newHost("entry", out.Stdout)
+	if err != nil {
+		return err
+	}
+	return ho.run(ctx, fx.Invoke(ho.startEntry))
+}
+
+// startEntry builds an entry.
+func (ho *host) startEntry(lc fx.Lifecycle) {
+	fo := &forward.Forwarder{
+		Budget:    retry.NewBudget(retry.Policy{Burst: attemptBurst, MaxAttempts: attemptBurst, Ratio: attemptRatio}, 1),
+		Directory: ho.directory, Domain: ho.settings.Domain, Headers: platform.Headers(), Log: ho.log, Metrics: ho.metrics,
+	}
+	su := &platform.Submissions{
+		Directory:  ho.directory,
+		Door:       &step.Door{Keeper: &step.Keeper{Client: ho.store}, Log: ho.log, Pool: ho.pool},
+		Live:       fo,
+		RetryAfter: stepRetry,
+	}
+	ga := &gateway{handler: su.Handler()}
+	background(lc, ho.follower().Run)
+	background(lc, func(ctx context.Context) { every(ctx, expireEvery, fo.Expire) })
+	ho.serveMetrics(lc)
+	sv := &http.Server{Handler: roleprocess.CloseWhile(ga.stopping.Load, ga), ReadHeaderTimeout: headerTimeout}
+	serve(lc, ho.settings.CallerAddress, sv, func(ctx context.Context) error {
+		ga.drain(ctx)
+		return sv.Shutdown(ctx)
+	})
+	ready := &http.Server{
+		Handler:           platform.Readiness(func() bool { return !ga.stopping.Load() && ho.directory.Ready() }),
+		ReadHeaderTimeout: headerTimeout,
+	}
+	// Stops last, so that the balancer hears that the entry is not ready.
+	lc.Append(fx.Hook{OnStop: func(context.Context) error {
+		ga.stopping.Store(true)
+		return nil
+	}})
+	serve(lc, ho.settings.ReadyAddress, ready, func(context.Context) error { return nil })
+}
+
+// every calls fn at an interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, fn func()) {
+	ti := time.NewTicker(interval)
+	defer ti.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ti.C:
+			fn()
+		}
+	}
+}
+
+// A gateway counts the requests that run.
+type gateway struct {
+	handler  http.Handler
+	open     atomic.Int64
+	stopping atomic.Bool
+}
+
+// ServeHTTP implements http.Handler.
+func (ga *gateway) ServeHTTP(rw http.ResponseWriter, hr *http.Request) {
+	ga.open.Add(1)
+	defer ga.open.Add(-1)
+	ga.handler.ServeHTTP(rw, hr)
+}
+
+// drain waits until the balancer sends no one any longer and no request runs.
+func (ga *gateway) drain(ctx context.Context) {
+	ga.stopping.Store(true)
+	end := time.Now().Add(linger)
+	for ctx.Err() == nil && (time.Now().Before(end) || ga.open.Load() > 0) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(drainEvery):
+		}
+	}
+}
--- /dev/null
+++ b/cmd/platformhost.go
@@ -0,0 +1,199 @@
+package cmd
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"wisteriacroft/directory"
+	"wisteriacroft/forward"
+	"wisteriacroft/keyvalue"
+	"wisteriacroft/message"
+	"wisteriacroft/peer"
+	"wisteriacroft/platform"
+	"wisteriacroft/step"
+	"wisteriacroft/telemetry"
+)
+
+const (
+	// memoryPart is the part of the memory that the platform grants at which
+	// the runtime collects harder: the rest is for stacks, for the kernel's
+	// buffers and for what comes between two collections.
+	memoryPart = 0.75
+	// metricsPath and metricsPort are where the deploy file says that metrics
+	// are.
+	metricsPath = "/metrics"
+	metricsPort = "9464"
+	// headerTimeout bounds how long a caller may take over a request's head,
+	// whose limit the operator sets lower.
+	headerTimeout = 10 * time.Second
+	// shutdownPart is the part of the grace that a role may use.
+	shutdownPart = 0.85
+)
+
+// A host is what the roles on the platform share as processes.
+type host struct {
+	directory *directory.Directory
+	log       *logrus.Entry
+	metrics   *metrics.Set
+	pool      *peer.Pool
+	settings  platform.Settings
+	store     *keyvalue.Client
+}
+
+// newHost reads the settings and returns what a role is built of.
+func newHost(role string, out io.Writer) (*host, error) {
+	se, err := platform.LoadSettings()
+	if err != nil {
+		return nil, err
+	}
+	applyMemory(se)
+	writer := telemetry.NewBoundedWriter(out)
+	logger := logrus.New()
+	logger.SetOutput(writer)
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	set := metrics.NewSet()
+	set.NewGauge("wisteriacroft_log_lines_dropped", func() float64 { return float64(writer.Dropped()) })
+	set.NewGauge("wisteriacroft_log_lines_written", func() float64 { return float64(writer.Written()) })
+	return &host{
+		directory: &directory.Directory{},
+		log:       logger.WithFields(logrus.Fields{"instance": se.Instance, "role": role}),
+		metrics:   set,
+		pool: &peer.Pool{
+			Codes: step.Codes(), DialTimeout: dialTimeout, SilenceTimeout: silenceTimeout,
+			DialFunc: func(ctx context.Context, address string) (net.Conn, error) {
+				return forward.Dialer().DialContext(ctx, "tcp", address)
+			},
+		},
+		settings: se,
+		store:    platform.NewStore(se.StoreAddress, forward.NewHTTPClient()),
+	}, nil
+}
+
+// Bounds of connections between the system's processes, which are a few
+// milliseconds apart.
+const (
+	dialTimeout    = 500 * time.Millisecond
+	silenceTimeout = 1200 * time.Millisecond
+)
+
+func applyMemory(se platform.Settings) {
+	if se.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(se.MemoryLimit)))
+	}
+}
+
+// follower returns what keeps the host's directory up to date.
+func (ho *host) follower() *directory.Follower {
+	return &directory.Follower{
+		Client: ho.store, Directory: ho.directory, Log: ho.log, Source: platform.Source(),
+	}
+}
+
+// reload reads the settings again at each SIGHUP. Addresses stay as they were
+// at the start, since connections depend on them.
+func (ho *host) reload(ctx context.Context) {
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
+	defer signal.Stop(hups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hups:
+		}
+		se, err := platform.LoadSettings()
+		if err != nil {
+			ho.log.WithError(err).Error("settings can't be read again, those in force stay")
+			continue
+		}
+		applyMemory(se)
+		ho.log.WithField("memory", se.MemoryLimit).Info("settings read again")
+	}
+}
+
+// run runs a role's app until ctx ends, and then stops it within the grace.
+func (ho *host) run(ctx context.Context, options ...fx.Option) error {
+	app := fx.New(append(options, fx.NopLogger)...)
+	if err := app.Err(); err != nil {
+		return errors.Wrap(err, "build the process")
+	}
+	if err := start(ctx, app); err != nil {
+		return errors.Wrap(err, "start the process")
+	}
+	go ho.reload(ctx)
+	ho.log.WithField("memory", ho.settings.MemoryLimit).Info("started")
+	<-ctx.Done()
+	ho.log.Info("stopping")
+	err := stop(ctx, app, time.Duration(shutdownPart*float64(ho.settings.Grace)))
+	ho.log.WithField("error", err).Info("stopped")
+	time.Sleep(flushTime)
+	return err
+}
+
+// flushTime is left for the last log lines.
+const flushTime = 20 * time.Millisecond
+
+// serve serves handlers at an address for as long as the app runs.
+func serve(lc fx.Lifecycle, address string, sv *http.Server, shutdown func(context.Context) error) {
+	lc.Append(fx.Hook{
+		OnStart: func(ctx context.Context) error {
+			var co net.ListenConfig
+			li, err := co.Listen(ctx, "tcp", address)
+			if err != nil {
+				return errors.Wrapf(err, "listen on %s", address)
+			}
+			go func() { _ = sv.Serve(li) }() // ends with the shutdown
+			return nil
+		},
+		OnStop: shutdown,
+	})
+}
+
+// background runs a function for as long as the app runs.
+func background(lc fx.Lifecycle, fn func(ctx context.Context)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go fn(ctx)
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			return nil
+		},
+	})
+}
+
+// serveMetrics serves the metrics at the port that the deploy file names.
+func (ho *host) serveMetrics(lc fx.Lifecycle) {
+	ip, _, err := net.SplitHostPort(ho.settings.PeerAddress)
+	if err != nil {
+		ip = ho.settings.PeerAddress
+	}
+	ad := &telemetry.Admin{Set: ho.metrics}
+	sv := &http.Server{Handler: ad.Handler(), ReadHeaderTimeout: headerTimeout}
+	serve(lc, net.JoinHostPort(ip, metricsPort), sv, sv.Shutdown)
+}
+
+// servePeers serves calls of the system's other processes.
+func (ho *host) servePeers(lc fx.Lifecycle, ps *peer.Server) {
+	ps.Codes = step.Codes()
+	mux := http.NewServeMux()
+	mux.Handle(message.RPCPath, ps)
+	sv := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	serve(lc, ho.settings.PeerAddress, sv, func(ctx context.Context) error {
+		return errors.CombineErrors(ps.Shutdown(ctx), sv.Close())
+	})
+}
--- /dev/null
+++ b/cmd/platformschedulercmd.go
@@ -0,0 +1,93 @@
+package cmd
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/fx"
+
+	"wisteriacroft/keyvalue"
+	"wisteriacroft/lease"
+	"wisteriacroft/peer"
+	"wisteriacroft/platform"
+	"wisteriacroft/step"
+)
+
+const (
+	// leaseTime is how long a scheduler that is gone keeps others from taking
+	// its place. Twice the least that the service grants: one renewal may be
+	// lost.
+	leaseTime = 2 * time.Second
+	// releaseTime bounds giving the lease up.
+	releaseTime = time.Second
+	// markEvery is how often a mark that an instance is empty is tried again.
+	markEvery = 300 * time.Millisecond
+)
+
+// A PlatformSchedulerCmd runs a scheduler on the platform.
+type PlatformSchedulerCmd struct{}
+
+// Run serves until ctx ends.
+func (*PlatformSchedulerCmd) Run(ctx context.Context, out Output) error {
+	ho, err := newHost("scheduler", out.Stdout)
+	if err != nil {
+		return err
+	}
+	return ho.run(ctx, fx.Invoke(ho.startScheduler))
+}
+
+// startScheduler builds a scheduler.
+func (ho *host) startScheduler(lc fx.Lifecycle) {
+	sc := &step.Scheduler{
+		Directory: ho.directory,
+		Holder: &lease.Holder{
+			Client: ho.store, Log: ho.log, Name: step.LeaseName, Owner: ho.settings.PeerAddress, TTL: leaseTime,
+		},
+		Keep: ho.settings.KeepResults, Keeper: &step.Keeper{Client: ho.store}, Log: ho.log, Metrics: ho.metrics,
+		PeerPort: ho.settings.PeerPort, Pool: ho.pool,
+	}
+	var ps peer.Server
+	sc.Register(&ps)
+	fo := ho.follower()
+	fo.OperatorFunc = func(it keyvalue.Item) {
+		if platform.Retires(it, ho.settings.Instance) {
+			go ho.retire(sc)
+		}
+	}
+	background(lc, sc.Run)
+	background(lc, fo.Run)
+	ho.serveMetrics(lc)
+	ho.servePeers(lc, &ps)
+	// Stops first, so that another scheduler takes over while this one still
+	// answers.
+	lc.Append(fx.Hook{OnStop: func(ctx context.Context) error {
+		sc.Retire()
+		return release(ctx, sc)
+	}})
+}
+
+// release gives the lease up, so that another takes the steps over at once.
+func release(ctx context.Context, sc *step.Scheduler) error {
+	ctx, cancel := context.WithTimeout(ctx, releaseTime)
+	defer cancel()
+	return sc.Holder.Release(ctx)
+}
+
+// retire empties the instance: it holds nothing but perhaps the lease, which
+// goes to another, and then marks it as empty.
+func (ho *host) retire(sc *step.Scheduler) {
+	ctx := context.Background()
+	ho.log.Info("instance is to be emptied")
+	sc.Retire()
+	if err := release(ctx, sc); err != nil {
+		ho.log.WithError(err).Warn("lease can't be released and ends by itself")
+	}
+	for {
+		err := platform.MarkRetired(ctx, ho.store, ho.settings.Instance)
+		ho.log.WithField("error", err).Info("instance marked as empty")
+		if err == nil {
+			return
+		}
+		time.Sleep(markEvery)
+	}
+}
--- /dev/null
+++ b/directory/configuration.go
@@ -0,0 +1,102 @@
+// Package directory holds what a process believes of its deployment: the
+// routes in force, and the endpoints that serve them. A Follower keeps it up to
+// date from the key-value service; readers get one consistent view at a time.
+package directory
+
+import (
+	"strings"
+	"time"
+)
+
+// A Kind says what a route's requests may bear.
+type Kind string
+
+// The kinds of routes.
+const (
+	Repeatable Kind = "repeatable" // running more than once does no harm
+	Once       Kind = "once"       // runs at most once for each request
+	Steps      Kind = "steps"      // whole steps of a trainer, kept and run later
+)
+
+// A Limits bounds what a caller may send. Zero fields mean no bound.
+type Limits struct {
+	BodySize      int64         // bytes
+	HeaderSize    int           // bytes
+	HeaderTimeout time.Duration // until a request's head is whole
+	IdleTimeout   time.Duration // for a kept connection between two requests
+}
+
+// A Share is a part of a route's requests that goes to a service.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// A Route says how the requests under a host and path prefix are served.
+type Route struct {
+	Due           time.Duration // a step's results are due this long after its submission
+	Goal          time.Duration // an answer within it is worth the most
+	Host          string
+	Kind          Kind
+	MaxAttempts   int           // endpoints to which one request may be sent; 0 means 1
+	MaxWait       time.Duration // a step's item may be given up after it
+	Name          string
+	Prefix        string // begins and ends with a slash
+	Priority      int    // 0 goes first
+	Resumable     bool   // a broken stream may go on at another endpoint
+	Shares        []Share
+	SingleVersion bool // one version of the weights makes a whole sample
+	Sticky        bool // requests with the same prompt prefix do best at one endpoint
+	Streaming     bool // the answer is a series of events
+	Timeout       time.Duration
+}
+
+// A Model is one that a service's engines serve.
+type Model struct{ Name string }
+
+// A Service is a group of endpoints that serve the same requests.
+type Service struct {
+	HealthPath string
+	MaxConns   int // connections that an endpoint accepts from all its clients
+	Models     []Model
+	Name       string
+	Slots      int // requests that an engine runs at once; 0 for plain services
+	Tokens     int // memory of an engine, in tokens; 0 for plain services
+}
+
+// A Configuration is everything that operators have put in force, as one
+// version.
+type Configuration struct {
+	Limits   Limits
+	Routes   []Route
+	Services []Service
+	Version  int64
+}
+
+// Route returns the route with the longest prefix of path among those of host.
+func (co *Configuration) Route(host, path string) (Route, bool) {
+	var best *Route
+	for i := range co.Routes {
+		ro := &co.Routes[i]
+		if ro.Host != host || !strings.HasPrefix(path, ro.Prefix) {
+			continue
+		}
+		if best == nil || len(ro.Prefix) > len(best.Prefix) {
+			best = ro
+		}
+	}
+	if best == nil {
+		return Route{}, false
+	}
+	return *best, true
+}
+
+// Service returns the service of a name.
+func (co *Configuration) Service(name string) (Service, bool) {
+	for _, se := range co.Services {
+		if se.Name == name {
+			return se, true
+		}
+	}
+	return Service{}, false
+}
--- /dev/null
+++ b/directory/directory.go
@@ -0,0 +1,185 @@
+package directory
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// returnTime is how long after the key-value service's return an endpoint that
+// is missing from it is still used: the time that the platform gives endpoints
+// to register again, 2 s, and a heartbeat's lag.
+const returnTime = 2500 * time.Millisecond
+
+// A Directory is the table of routes and endpoints that a process believes in.
+// The zero Directory is empty and ready to use.
+type Directory struct {
+	mu            sync.RWMutex
+	configuration *Configuration
+	endpoints     map[string]Endpoint
+	missing       map[string]time.Time // endpoints to drop, and when
+	versions      map[string]uint64    // newest version named for a model
+	synced        bool                 // endpoints have been read once
+	awaySince     time.Time            // zero while the service answers
+	backAt        time.Time
+}
+
+// Configuration returns what is in force, or nil before it is known. It must
+// not be changed.
+func (di *Directory) Configuration() *Configuration {
+	di.mu.RLock()
+	defer di.mu.RUnlock()
+	return di.configuration
+}
+
+// SetConfiguration puts a configuration in force unless a newer one is. It
+// returns whether it did.
+//
+// A read that was answered by a replica behind the others, or an answer that
+// was overtaken, would otherwise bring back routes that were removed.
+func (di *Directory) SetConfiguration(co *Configuration) bool {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	if di.configuration != nil && co.Version <= di.configuration.Version {
+		return false
+	}
+	di.configuration = co
+	return true
+}
+
+// Endpoint returns the endpoint of an ID.
+func (di *Directory) Endpoint(id string) (Endpoint, bool) {
+	di.mu.RLock()
+	defer di.mu.RUnlock()
+	en, ok := di.endpoints[id]
+	return en, ok
+}
+
+// Endpoints returns the endpoints of a service, or all for an empty name,
+// ordered by ID.
+func (di *Directory) Endpoints(service string) []Endpoint {
+	di.mu.RLock()
+	defer di.mu.RUnlock()
+	ens := make([]Endpoint, 0, len(di.endpoints))
+	for _, en := range di.endpoints {
+		if service == "" || en.Service == service {
+			ens = append(ens, en)
+		}
+	}
+	slices.SortFunc(ens, func(a, b Endpoint) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return ens
+}
+
+// Ready returns whether routes and endpoints are known.
+func (di *Directory) Ready() bool {
+	di.mu.RLock()
+	defer di.mu.RUnlock()
+	return di.configuration != nil && di.synced
+}
+
+// SetEndpoint adds or replaces an endpoint.
+func (di *Directory) SetEndpoint(en Endpoint) {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	if di.endpoints == nil {
+		di.endpoints = map[string]Endpoint{}
+	}
+	di.endpoints[en.ID] = en
+	delete(di.missing, en.ID)
+}
+
+// RemoveEndpoint drops an endpoint whose entry is gone.
+//
+// Entries also vanish while the service is away from the endpoints, and come
+// back with it. Dropping them at once would refuse all requests for seconds
+// after each outage, so that shortly after one they stay until returnTime is
+// over.
+func (di *Directory) RemoveEndpoint(id string, now time.Time) {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	if di.awaySince.IsZero() && (di.backAt.IsZero() || now.Sub(di.backAt) > returnTime) {
+		delete(di.endpoints, id)
+		return
+	}
+	if di.missing == nil {
+		di.missing = map[string]time.Time{}
+	}
+	if _, ok := di.missing[id]; !ok {
+		di.missing[id] = now.Add(returnTime)
+	}
+}
+
+// SetEndpoints replaces all endpoints.
+func (di *Directory) SetEndpoints(ens []Endpoint, now time.Time) {
+	present := map[string]bool{}
+	for _, en := range ens {
+		present[en.ID] = true
+		di.SetEndpoint(en)
+	}
+	for _, en := range di.Endpoints("") {
+		if !present[en.ID] {
+			di.RemoveEndpoint(en.ID, now)
+		}
+	}
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	di.synced = true
+}
+
+// Expire drops the endpoints that stayed missing after an outage.
+func (di *Directory) Expire(now time.Time) {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	for id, at := range di.missing {
+		if now.After(at) && di.awaySince.IsZero() && now.Sub(di.backAt) > returnTime {
+			delete(di.endpoints, id)
+			delete(di.missing, id)
+		}
+	}
+}
+
+// SetAway records whether the key-value service answers, and returns whether
+// that has changed.
+func (di *Directory) SetAway(away bool, now time.Time) bool {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	was := !di.awaySince.IsZero()
+	switch {
+	case away == was:
+		return false
+	case away:
+		di.awaySince = now
+	default:
+		di.awaySince = time.Time{}
+		di.backAt = now
+	}
+	return true
+}
+
+// SetVersion records the newest version that was named for a model; it never
+// goes back. It returns whether it is new.
+func (di *Directory) SetVersion(model string, version uint64) bool {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	if version <= di.versions[model] {
+		return false
+	}
+	if di.versions == nil {
+		di.versions = map[string]uint64{}
+	}
+	di.versions[model] = version
+	return true
+}
+
+// Versions returns the newest version that was named for each model.
+func (di *Directory) Versions() map[string]uint64 {
+	di.mu.RLock()
+	defer di.mu.RUnlock()
+	return maps.Clone(di.versions)
+}
--- /dev/null
+++ b/directory/follower.go
@@ -0,0 +1,206 @@
+package directory
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"wisteriacroft/keyvalue"
+)
+
+// Bounds of following the key-value service.
+const (
+	// followWait is how long one call waits for changes. Each call is paid for;
+	// a waiting one shows a silent connection only when it ends.
+	followWait = 10 * time.Second
+	// followSlack is how much longer the answer may take.
+	followSlack = time.Second
+	// followPause is the pause after changes, so that many in a row cost one
+	// call. With the call's own time it stays well under the 2 s within which
+	// an endpoint that leaves must get no new work.
+	followPause = 250 * time.Millisecond
+	// retryPause is the pause after a failed call.
+	retryPause = 250 * time.Millisecond
+	// expireEvery is how often endpoints that stay missing are looked for.
+	expireEvery = 200 * time.Millisecond
+)
+
+// A Source says where in the key-value service things lie and how they read.
+type Source struct {
+	ConfigurationKey string
+	EndpointPrefix   string
+	VersionPrefix    string // after it stands the model's name
+	// OperatorPrefix is a prefix of the configuration's key and of
+	// VersionPrefix, so that one call follows both.
+	OperatorPrefix string
+
+	DecodeConfigurationFunc func(value []byte) (*Configuration, error)
+	DecodeEndpointFunc      func(id string, value []byte) (Endpoint, error)
+	DecodeVersionFunc       func(value []byte) (model string, version uint64, err error)
+}
+
+// A Follower keeps a Directory up to date.
+type Follower struct {
+	Client    *keyvalue.Client
+	Directory *Directory
+	Log       *logrus.Entry
+	Source    Source
+	// OperatorFunc is told of items under OperatorPrefix that are neither the
+	// configuration nor a version. Nil ignores them.
+	OperatorFunc func(it keyvalue.Item)
+	// Pause overrides the pause after changes under the endpoints' prefix.
+	Pause time.Duration
+}
+
+// Run follows until ctx ends.
+func (fo *Follower) Run(ctx context.Context) {
+	go fo.Prefix(ctx, fo.Source.OperatorPrefix, 0, fo.applyOperator)
+	go fo.Prefix(ctx, fo.Source.EndpointPrefix, max(fo.Pause, followPause), fo.applyEndpoints)
+	ti := time.NewTicker(expireEvery)
+	defer ti.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ti.C:
+			fo.Directory.Expire(now)
+		}
+	}
+}
+
+// Prefix scans a prefix and follows it until ctx ends. Apply gets whole
+// listings first and after history was lost, and changes else.
+func (fo *Follower) Prefix(ctx context.Context, prefix string, pause time.Duration, apply func([]keyvalue.Item, bool)) {
+	var after int64
+	scan := true
+	for ctx.Err() == nil {
+		ch, err := fo.next(ctx, prefix, after, scan)
+		fo.away(prefix, err)
+		if errors.Is(err, keyvalue.ErrHistoryGone) {
+			fo.Log.WithFields(logrus.Fields{"prefix": prefix, "after": after}).Info("history lost, scanning again")
+			scan = true
+			continue
+		}
+		if err != nil {
+			sleep(ctx, retryPause)
+			continue
+		}
+		if scan || len(ch.Items) > 0 {
+			apply(ch.Items, scan)
+			sleep(ctx, pause)
+		}
+		after, scan = max(after, ch.Version), false
+	}
+}
+
+func (fo *Follower) next(ctx context.Context, prefix string, after int64, scan bool) (keyvalue.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, followWait+followSlack)
+	defer cancel()
+	if scan {
+		return fo.Client.Scan(ctx, prefix)
+	}
+	return fo.Client.Follow(ctx, prefix, after, followWait)
+}
+
+// away notes whether the service answers.
+func (fo *Follower) away(prefix string, err error) {
+	gone := err != nil && !errors.Is(err, keyvalue.ErrHistoryGone)
+	if !fo.Directory.SetAway(gone, time.Now()) {
+		return
+	}
+	en := fo.Log.WithFields(logrus.Fields{"dependency": "key-value", "prefix": prefix})
+	if gone {
+		en.WithError(err).Warn("dependency lost")
+		return
+	}
+	en.Info("dependency regained")
+}
+
+func sleep(ctx context.Context, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
+
+func (fo *Follower) applyOperator(its []keyvalue.Item, _ bool) {
+	for _, it := range its {
+		switch {
+		case it.Value == nil:
+		case it.Key == fo.Source.ConfigurationKey:
+			fo.applyConfiguration(it)
+		case strings.HasPrefix(it.Key, fo.Source.VersionPrefix):
+			fo.applyVersion(it)
+		case fo.OperatorFunc != nil:
+			fo.OperatorFunc(it)
+		}
+	}
+}
+
+func (fo *Follower) applyConfiguration(it keyvalue.Item) {
+	co, err := fo.Source.DecodeConfigurationFunc(it.Value)
+	en := fo.Log.WithFields(logrus.Fields{"key": it.Key, "revision": it.Version})
+	if err != nil {
+		en.WithError(err).Error("configuration does not decode, the one in force stays")
+		return
+	}
+	taken := fo.Directory.SetConfiguration(co)
+	en.WithFields(logrus.Fields{"version": co.Version, "routes": len(co.Routes), "taken": taken}).Info("configuration")
+}
+
+func (fo *Follower) applyVersion(it keyvalue.Item) {
+	model, version, err := fo.Source.DecodeVersionFunc(it.Value)
+	en := fo.Log.WithFields(logrus.Fields{"key": it.Key, "revision": it.Version})
+	if err != nil {
+		en.WithError(err).Error("named version does not decode")
+		return
+	}
+	if fo.Directory.SetVersion(model, version) {
+		en.WithFields(logrus.Fields{"model": model, "version": version}).Info("version named")
+	}
+}
+
+func (fo *Follower) applyEndpoints(its []keyvalue.Item, whole bool) {
+	var ens []Endpoint
+	now := time.Now()
+	for _, it := range its {
+		id := strings.TrimPrefix(it.Key, fo.Source.EndpointPrefix)
+		if it.Value == nil {
+			fo.Directory.RemoveEndpoint(id, now)
+			fo.Log.WithFields(logrus.Fields{"endpoint": id, "revision": it.Version}).Info("endpoint's entry removed")
+			continue
+		}
+		en, err := fo.Source.DecodeEndpointFunc(id, it.Value)
+		if err != nil {
+			fo.Log.WithError(err).WithField("endpoint", id).Error("endpoint's entry does not decode")
+			continue
+		}
+		ens = append(ens, en)
+		fo.logEndpoint(en, it.Version)
+	}
+	if whole {
+		fo.Directory.SetEndpoints(ens, now)
+		return
+	}
+	for _, en := range ens {
+		fo.Directory.SetEndpoint(en)
+	}
+}
+
+// logEndpoint writes a line if an endpoint is new or begins to leave.
+func (fo *Follower) logEndpoint(en Endpoint, revision int64) {
+	old, known := fo.Directory.Endpoint(en.ID)
+	if known && old.Leaving == en.Leaving {
+		return
+	}
+	fo.Log.WithFields(logrus.Fields{
+		"address": en.Address, "endpoint": en.ID, "leaving": en.Leaving,
+		"revision": revision, "service": en.Service,
+	}).Info("endpoint")
+}
--- /dev/null
+++ b/forward/attempt.go
@@ -0,0 +1,108 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wisteriacroft/directory"
+	"wisteriacroft/roundtrip"
+)
+
+// Errors of an attempt.
+var (
+	errBroken  = errors.New("no whole answer")
+	errNotSent = errors.New("request was not sent")
+)
+
+// A result is what became of one attempt.
+type result struct {
+	body     []byte
+	endpoint directory.Endpoint
+	err      error
+	header   http.Header
+	notRun   bool // the endpoint did not run the request and won't
+	status   int
+	stream   io.ReadCloser // instead of body, on streaming routes
+	took     time.Duration
+}
+
+// final reports whether the result answers the caller.
+func (re *result) final(repeatable bool) bool {
+	if re.err != nil || re.notRun {
+		return false
+	}
+	return !repeatable || re.status < http.StatusInternalServerError
+}
+
+// send makes one attempt at an endpoint. It returns with the whole answer or,
+// for a stream, with its head.
+func (fo *Forwarder) send(ctx context.Context, rq *request, en directory.Endpoint) *result {
+	begun := time.Now()
+	re := &result{endpoint: en}
+	he := rq.header.Clone()
+	he.Set(fo.Headers.Expect, en.ID)
+	if !rq.streaming() {
+		left := max(time.Until(rq.deadline), time.Millisecond)
+		he.Set(fo.Headers.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
+	}
+	an, err := fo.client(en).Do(ctx, roundtrip.Request{
+		Body: rq.body, Header: he, Host: rq.host, ID: rq.id, Method: rq.method, Path: rq.target,
+	})
+	re.took = time.Since(begun)
+	if err != nil {
+		re.err, re.notRun = err, errors.Is(err, errNotSent)
+		return re
+	}
+	re.header, re.status = an.Header, an.Status
+	re.notRun = an.Header.Get(fo.Headers.NotRun) != "" || an.Status == http.StatusMisdirectedRequest
+	if rq.streaming() && an.Status == http.StatusOK {
+		re.stream = an.Body
+		return re
+	}
+	defer func() { _ = an.Body.Close() }()
+	re.body, re.err = io.ReadAll(an.Body)
+	re.took = time.Since(begun)
+	if re.err == nil && !re.notRun && an.Header.Get(fo.Headers.Signature) == "" && an.Status < http.StatusMultipleChoices {
+		re.err = errors.Wrap(errBroken, "answer has no mark of the endpoint")
+	}
+	return re
+}
+
+// client returns the client of an endpoint's address.
+func (fo *Forwarder) client(en directory.Endpoint) roundtrip.Client {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	if fo.clients == nil {
+		fo.clients = map[string]roundtrip.Client{}
+	}
+	cl, ok := fo.clients[en.ID]
+	if !ok {
+		cl = roundtrip.New("http://"+en.Address, NewHTTPClient(), errBroken)
+		cl.NotSent = errNotSent
+		cl.IDHeader = fo.Headers.RequestID
+		fo.clients[en.ID] = cl
+	}
+	return cl
+}
+
+// Expire closes what concerns endpoints that are gone.
+func (fo *Forwarder) Expire() {
+	exists := func(id string) bool {
+		_, ok := fo.Directory.Endpoint(id)
+		return ok
+	}
+	fo.table.Forget(exists)
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	for id, cl := range fo.clients {
+		if !exists(id) {
+			cl.HTTP.CloseIdleConnections()
+			delete(fo.clients, id)
+		}
+	}
+}
--- /dev/null
+++ b/forward/forwarder.go
@@ -0,0 +1,222 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"wisteriacroft/directory"
+	"wisteriacroft/retry"
+	"wisteriacroft/roundtrip"
+)
+
+// Limits of the path of a live request.
+const (
+	// configurationRetry is when a caller may come back that met an entry that
+	// has just started: the time in which it reads the configuration.
+	configurationRetry = 500 * time.Millisecond
+	// fullRetry is when a caller may come back that found all endpoints full:
+	// about what a plain endpoint needs for two requests.
+	fullRetry = 50 * time.Millisecond
+	// defaultDeadline bounds a request for which neither the caller nor the
+	// route names a bound.
+	defaultDeadline = 30 * time.Second
+	// hedgeFactor is how many times its usual latency a repeatable request
+	// waits before it is sent to a second endpoint as well. With work of 25 ms
+	// and a spread of a half, 3 times is beyond 98 of 100 requests.
+	hedgeFactor = 3
+	// minHedge is the least such wait, so that two hops' jitter sends nothing
+	// twice.
+	minHedge = 40 * time.Millisecond
+)
+
+// A Forwarder serves live requests. Fill the exported fields before use.
+type Forwarder struct {
+	Directory *directory.Directory
+	Domain    string // failure domain of the process
+	Headers   Headers
+	Log       *logrus.Entry
+	Metrics   *metrics.Set
+	// Budget bounds the attempts beyond the first.
+	Budget *retry.Budget
+
+	clients map[string]roundtrip.Client
+	mu      sync.Mutex
+	table   Table
+}
+
+// ServeHTTP implements http.Handler.
+func (fo *Forwarder) ServeHTTP(rw http.ResponseWriter, hr *http.Request) {
+	received := time.Now()
+	rq, rj := fo.read(rw, hr)
+	if rj != nil {
+		fo.reject(rw, hr, rj)
+		return
+	}
+	ctx, answered := callerGone(hr, rq.deadline)
+	fo.Budget.First()
+	if rq.streaming() {
+		fo.serveStream(rw, hr, rq)
+	} else {
+		fo.serveWhole(ctx, rw, rq)
+	}
+	if hr.Context().Err() == nil {
+		answered()
+	}
+	fo.Metrics.GetOrCreateHistogram(`wisteriacroft_live_seconds`).UpdateDuration(received)
+}
+
+func (fo *Forwarder) serveWhole(ctx context.Context, rw http.ResponseWriter, rq *request) {
+	re := fo.run(ctx, rq)
+	lo := fo.Log.WithFields(logrus.Fields{
+		"endpoint": re.endpoint.ID, "ms": time.Since(rq.received).Milliseconds(), "request": rq.id,
+		"route": rq.route.Name, "status": re.status,
+	})
+	if re.err == nil && !re.notRun {
+		lo.Info("answered")
+		fo.count("answered")
+		writeAnswer(rw, re)
+		return
+	}
+	fo.count("failed")
+	lo.WithFields(logrus.Fields{"error": re.err, "not-run": re.notRun}).Warn("not served")
+	if re.notRun {
+		refuse(rw, http.StatusServiceUnavailable, fullRetry)
+		return
+	}
+	refuse(rw, http.StatusGatewayTimeout, 0)
+}
+
+// run sends a request to endpoints in turn until one answers it. A repeatable
+// one that waits longer than usual goes to a second one meanwhile.
+func (fo *Forwarder) run(ctx context.Context, rq *request) *result {
+	ens := fo.Directory.Endpoints(rq.service)
+	tried := map[string]bool{}
+	results := make(chan *result, max(rq.route.MaxAttempts, 1))
+	running, ran := 0, false
+	last := &result{notRun: true}
+	launch := func() bool {
+		if len(tried) >= max(rq.route.MaxAttempts, 1) {
+			return false
+		}
+		en, ok := fo.table.Pick(ens, tried, fo.Domain, time.Now())
+		if !ok {
+			return false
+		}
+		tried[en.ID] = true
+		running++
+		go func() {
+			re := fo.send(ctx, rq, en)
+			fo.judge(ctx, rq, re)
+			results <- re
+		}()
+		return true
+	}
+	if !launch() {
+		return last
+	}
+	hedge := time.NewTimer(max(hedgeFactor*fo.table.Latency(ens), minHedge))
+	defer hedge.Stop()
+	for running > 0 {
+		select {
+		case <-ctx.Done():
+			return &result{endpoint: last.endpoint, err: ctx.Err()}
+		case <-hedge.C:
+			if rq.repeatable() && fo.another(rq, tried, "slow") {
+				launch()
+			}
+		case re := <-results:
+			running--
+			if re.final(rq.repeatable()) {
+				return re
+			}
+			ran = ran || !re.notRun
+			last = re
+			if (re.notRun || rq.repeatable()) && fo.another(rq, tried, "failed") {
+				launch()
+			}
+		}
+	}
+	if last.notRun && ran {
+		last = &result{endpoint: last.endpoint, err: errBroken}
+	}
+	return last
+}
+
+// another asks the budget for one more attempt.
+func (fo *Forwarder) another(rq *request, tried map[string]bool, why string) bool {
+	if len(tried) >= max(rq.route.MaxAttempts, 1) {
+		return false
+	}
+	_, ok := fo.Budget.Retry(time.Now(), retry.Attempt{
+		Deadline: rq.deadline, Number: len(tried), Repeatable: true,
+	})
+	fo.Log.WithFields(logrus.Fields{
+		"allowed": ok, "attempts": len(tried), "request": rq.id, "why": why,
+	}).Info("another attempt")
+	return ok
+}
+
+// judge notes what an attempt says of its endpoint.
+func (fo *Forwarder) judge(ctx context.Context, rq *request, re *result) {
+	now := time.Now()
+	id := re.endpoint.ID
+	fo.table.Done(id)
+	switch {
+	case re.err != nil && ctx.Err() != nil: // the caller left, or its time is up
+		fo.table.Slow(id, re.took)
+	case re.err != nil, re.status == http.StatusMisdirectedRequest:
+		penalty := fo.table.Failed(id, now)
+		fo.Log.WithFields(logrus.Fields{
+			"endpoint": id, "error": re.err, "penalty": penalty.String(), "request": rq.id, "status": re.status,
+		}).Warn("endpoint failed")
+	default:
+		lo, ok := parseLoad(re.header.Get(fo.Headers.Load))
+		fo.table.Answered(id, re.took, lo, ok, now)
+	}
+}
+
+func (fo *Forwarder) count(outcome string) {
+	fo.Metrics.GetOrCreateCounter(`wisteriacroft_live_total{outcome="` + outcome + `"}`).Inc()
+}
+
+func (fo *Forwarder) reject(rw http.ResponseWriter, hr *http.Request, rj *rejection) {
+	fo.Log.WithFields(logrus.Fields{
+		"host": hr.Host, "path": hr.URL.Path, "reason": rj.reason,
+		"request": hr.Header.Get(fo.Headers.RequestID), "status": rj.status,
+	}).Warn("rejected")
+	fo.count("rejected")
+	refuse(rw, rj.status, rj.retryAfter)
+}
+
+// refuse writes an answer of the entry's own.
+func refuse(rw http.ResponseWriter, status int, retryAfter time.Duration) {
+	if retryAfter > 0 {
+		rw.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
+	}
+	rw.WriteHeader(status)
+}
+
+// writeAnswer passes an endpoint's answer on.
+func writeAnswer(rw http.ResponseWriter, re *result) {
+	copyHeader(rw.Header(), re.header)
+	rw.Header().Set("Content-Length", strconv.Itoa(len(re.body)))
+	rw.WriteHeader(re.status)
+	_, _ = rw.Write(re.body) // the caller has left if it fails
+}
+
+// copyHeader sets the headers that cross a hop. Without a type of its own the
+// answer gets none, where net/http would guess one.
+func copyHeader(to, from http.Header) {
+	for name, values := range crossing(from) {
+		to[name] = values
+	}
+	if from["Content-Type"] == nil {
+		to["Content-Type"] = nil
+	}
+}
--- /dev/null
+++ b/forward/headers.go
@@ -0,0 +1,79 @@
+// Package forward is the path of a live request through an entry: which
+// endpoint it goes to, when it is tried again, and what its caller is told.
+package forward
+
+import (
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Headers are the names of the headers that carry what callers, entries and
+// endpoints say of a request.
+type Headers struct {
+	Deadline    string // milliseconds that the caller still waits
+	EndpointID  string // the endpoint that answers, or that a request is for
+	Expect      string // the endpoint that a request is for; any other refuses it
+	LastEvent   string // the last event that the caller has
+	LengthHint  string // estimate of the tokens that will be generated
+	Load        string // running, waiting and places of an endpoint
+	Model       string
+	NotRun      string // present: the endpoint did not run the request
+	Prompt      string // parts of the prompt, first one first
+	RequestID   string
+	Signature   string // the endpoint's mark on its own answer
+	Usage       string // tokens of the prompt, and of the answer at most
+	Versions    string // version of the weights that generate
+	ExpectModel string // version of the weights that a request is for
+}
+
+// connectionHeaders concern one connection only and don't cross a hop.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// crossing returns the headers that cross a hop.
+func crossing(he http.Header) http.Header {
+	out := he.Clone()
+	for _, line := range he["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// parseDeadline returns how long a caller waits, or 0 if it doesn't say.
+func parseDeadline(text string) time.Duration {
+	count, err := strconv.ParseInt(strings.TrimSpace(text), 10, 64)
+	if err != nil || count < 0 {
+		return 0
+	}
+	return time.Duration(count) * time.Millisecond
+}
+
+// A load is what an endpoint says of itself.
+type load struct{ running, waiting, places int }
+
+// parseLoad reads "running,waiting,places".
+func parseLoad(text string) (load, bool) {
+	parts := strings.Split(text, ",")
+	if len(parts) != 3 {
+		return load{}, false
+	}
+	var counts [3]int
+	for i, part := range parts {
+		count, err := strconv.Atoi(strings.TrimSpace(part))
+		if err != nil {
+			return load{}, false
+		}
+		counts[i] = count
+	}
+	return load{running: counts[0], waiting: counts[1], places: counts[2]}, true
+}
--- /dev/null
+++ b/forward/request.go
@@ -0,0 +1,124 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wisteriacroft/directory"
+)
+
+// A request is one caller's request, checked and read whole.
+type request struct {
+	body     []byte
+	deadline time.Time
+	header   http.Header // those that cross a hop
+	host     string
+	id       string
+	method   string
+	received time.Time
+	route    directory.Route
+	service  string
+	target   string // path and query as the caller sent them
+}
+
+func (rq *request) streaming() bool { return rq.route.Streaming }
+
+// repeatable reports whether running the request twice does no harm.
+func (rq *request) repeatable() bool {
+	return rq.route.Kind == directory.Repeatable || rq.route.Streaming && rq.route.Resumable
+}
+
+// A rejection is an answer that a request gets before any endpoint does.
+type rejection struct {
+	reason     string
+	retryAfter time.Duration
+	status     int
+}
+
+// read checks a request and reads its body.
+func (fo *Forwarder) read(rw http.ResponseWriter, hr *http.Request) (*request, *rejection) {
+	co := fo.Directory.Configuration()
+	if co == nil {
+		return nil, &rejection{reason: "no configuration yet", retryAfter: configurationRetry, status: http.StatusServiceUnavailable}
+	}
+	ro, ok := co.Route(hr.Host, hr.URL.Path)
+	if !ok {
+		return nil, &rejection{reason: "no route", status: http.StatusNotFound}
+	}
+	rq := &request{
+		header: crossing(hr.Header), host: hr.Host, id: hr.Header.Get(fo.Headers.RequestID), method: hr.Method,
+		received: time.Now(), route: ro, target: hr.URL.RequestURI(), service: pickShare(ro.Shares),
+	}
+	if rq.id == "" {
+		return nil, &rejection{reason: "request has no id", status: http.StatusBadRequest}
+	}
+	rq.setDeadline(parseDeadline(hr.Header.Get(fo.Headers.Deadline)))
+	var err error
+	rq.body, err = ReadBody(rw, hr, co.Limits.BodySize)
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, &rejection{reason: "body is too large", status: http.StatusRequestEntityTooLarge}
+	case err != nil:
+		return nil, &rejection{reason: "body is not whole", status: http.StatusBadRequest}
+	}
+	return rq, nil
+}
+
+// ReadBody reads a request's body of at most limit bytes; 0 means no limit.
+func ReadBody(rw http.ResponseWriter, hr *http.Request, limit int64) ([]byte, error) {
+	body := hr.Body
+	if limit > 0 {
+		body = http.MaxBytesReader(rw, body, limit)
+	}
+	return io.ReadAll(body)
+}
+
+// setDeadline bounds the request by what the caller and the operator allow. A
+// stream is bounded by its caller alone once it has begun.
+func (rq *request) setDeadline(caller time.Duration) {
+	limit := caller
+	if rq.route.Timeout > 0 && (limit == 0 || rq.route.Timeout < limit) {
+		limit = rq.route.Timeout
+	}
+	if limit == 0 {
+		limit = defaultDeadline
+	}
+	rq.deadline = rq.received.Add(limit)
+}
+
+// pickShare draws a service by its weight.
+func pickShare(shares []directory.Share) string {
+	total := 0
+	for _, sh := range shares {
+		total += sh.Weight
+	}
+	if total == 0 {
+		if len(shares) == 0 {
+			return ""
+		}
+		return shares[0].Service
+	}
+	at := rand.IntN(total)
+	for _, sh := range shares {
+		if at < sh.Weight {
+			return sh.Service
+		}
+		at -= sh.Weight
+	}
+	return ""
+}
+
+// callerGone returns a context that ends when the caller leaves before the
+// request is answered, and at the request's deadline. Answered lets attempts
+// that still run come to their own end.
+func callerGone(hr *http.Request, deadline time.Time) (ctx context.Context, answered func()) {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(hr.Context()), deadline)
+	stop := context.AfterFunc(hr.Context(), cancel)
+	return ctx, func() { stop() }
+}
--- /dev/null
+++ b/forward/stream.go
@@ -0,0 +1,122 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"wisteriacroft/events"
+)
+
+// serveStream passes a stream's events on as they come. Where the route allows
+// it, a stream that breaks goes on at another endpoint after the last event
+// that the caller got.
+func (fo *Forwarder) serveStream(rw http.ResponseWriter, hr *http.Request, rq *request) {
+	ctx, cancel := context.WithCancel(hr.Context())
+	defer cancel()
+	begun, last := false, int64(0)
+	tried := map[string]bool{}
+	for {
+		re := fo.openStream(ctx, rq, tried)
+		if re.stream == nil {
+			fo.endStream(rw, rq, re, begun)
+			return
+		}
+		if !begun {
+			copyHeader(rw.Header(), re.header)
+			rw.WriteHeader(re.status)
+			begun = true
+		}
+		seen, err := fo.passEvents(rw, re.stream)
+		_ = re.stream.Close()
+		fo.table.Done(re.endpoint.ID)
+		last = max(last, seen)
+		lo := fo.Log.WithFields(logrus.Fields{
+			"endpoint": re.endpoint.ID, "last-event": last, "request": rq.id, "route": rq.route.Name,
+		})
+		if err == nil {
+			lo.Info("stream ended")
+			fo.count("answered")
+			return
+		}
+		lo.WithError(err).Warn("stream broke")
+		if !rq.repeatable() || hr.Context().Err() != nil {
+			fo.count("failed")
+			panic(http.ErrAbortHandler) // an answer that ends early must not look whole
+		}
+		fo.table.Failed(re.endpoint.ID, time.Now())
+		if last > 0 {
+			rq.header.Set(fo.Headers.LastEvent, strconv.FormatInt(last, 10))
+		}
+	}
+}
+
+// openStream sends a request to endpoints in turn until one begins to answer.
+func (fo *Forwarder) openStream(ctx context.Context, rq *request, tried map[string]bool) *result {
+	ens := fo.Directory.Endpoints(rq.service)
+	last := &result{notRun: true}
+	for len(tried) < max(rq.route.MaxAttempts, 1) {
+		en, ok := fo.table.Pick(ens, tried, fo.Domain, time.Now())
+		if !ok {
+			return last
+		}
+		tried[en.ID] = true
+		re := fo.send(ctx, rq, en)
+		if re.stream != nil {
+			return re
+		}
+		fo.judge(ctx, rq, re)
+		if re.final(rq.repeatable()) || !re.notRun && !rq.repeatable() || ctx.Err() != nil {
+			return re
+		}
+		last = re
+	}
+	return last
+}
+
+// endStream answers a stream that no endpoint goes on with.
+func (fo *Forwarder) endStream(rw http.ResponseWriter, rq *request, re *result, begun bool) {
+	fo.count("failed")
+	fo.Log.WithFields(logrus.Fields{
+		"begun": begun, "error": re.err, "not-run": re.notRun, "request": rq.id, "status": re.status,
+	}).Warn("stream not served")
+	switch {
+	case begun:
+		panic(http.ErrAbortHandler)
+	case re.notRun:
+		refuse(rw, http.StatusServiceUnavailable, fullRetry)
+	case re.err != nil:
+		refuse(rw, http.StatusBadGateway, 0)
+	default:
+		writeAnswer(rw, re)
+	}
+}
+
+// passEvents writes whole events until the stream ends, and returns the last
+// one's ID. A half event is dropped, since another endpoint sends it whole.
+func (fo *Forwarder) passEvents(rw http.ResponseWriter, stream io.Reader) (int64, error) {
+	var last int64
+	flush := http.NewResponseController(rw)
+	rd := events.NewReader(stream)
+	for {
+		ev, err := rd.Next()
+		if errors.Is(err, io.EOF) {
+			return last, nil
+		}
+		if err != nil {
+			return last, err
+		}
+		if _, err := rw.Write(ev.Raw); err != nil {
+			return last, err
+		}
+		if err := flush.Flush(); err != nil {
+			return last, err
+		}
+		last = max(last, ev.ID)
+	}
+}
--- /dev/null
+++ b/forward/table.go
@@ -0,0 +1,176 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"wisteriacroft/directory"
+)
+
+// Weights of placing live requests.
+const (
+	// latencyWeight is the part of a new latency in an endpoint's mean: about
+	// ten answers make it, so that a slow endpoint shows within a second at six
+	// requests a second.
+	latencyWeight = 0.1
+	// firstLatency is assumed of an endpoint that has not answered yet.
+	firstLatency = 30 * time.Millisecond
+	// firstPenalty and maxPenalty bound for how long an endpoint that failed is
+	// passed over while others can be had; it doubles with each failure.
+	firstPenalty = 500 * time.Millisecond
+	maxPenalty   = 4 * time.Second
+	// sameDomain is by how much an endpoint in the own failure domain may be
+	// worse than another and still go first: a hop between domains costs about
+	// 2 ms of some 30 both ways, and its bytes are paid for.
+	sameDomain = 1.15
+	// loadLife is how long an endpoint's word on its load counts.
+	loadLife = 2 * time.Second
+)
+
+// A row is what an entry knows of an endpoint by its own requests.
+type row struct {
+	failures int // since the last answer
+	inFlight int
+	latency  time.Duration
+	load     load
+	loadAt   time.Time
+	penalty  time.Time // passed over until then
+	seenAt   time.Time
+}
+
+// A Table holds a row for each endpoint. The zero Table is empty and ready to
+// use.
+type Table struct {
+	mu   sync.Mutex
+	rows map[string]*row
+}
+
+func (ta *Table) row(id string) *row {
+	if ta.rows == nil {
+		ta.rows = map[string]*row{}
+	}
+	ro, ok := ta.rows[id]
+	if !ok {
+		ro = &row{latency: firstLatency}
+		ta.rows[id] = ro
+	}
+	return ro
+}
+
+// Pick chooses the endpoint for the next attempt among those given and not yet
+// tried, and counts the request as in flight there until Done.
+//
+// Load pattern: a few endpoints, of which one turns slow or silent under steady
+// traffic. The least expected wait goes first, the expected wait being the mean
+// latency for each request that would share the endpoint's places; endpoints
+// that just failed come last, but come: when all fail, the one whose penalty
+// ends first is tried.
+func (ta *Table) Pick(ens []directory.Endpoint, tried map[string]bool, domain string, now time.Time) (directory.Endpoint, bool) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	best, bestCost, found := directory.Endpoint{}, 0.0, false
+	offset := 0
+	if len(ens) > 0 {
+		offset = rand.IntN(len(ens))
+	}
+	for i := range ens {
+		en := ens[(i+offset)%len(ens)]
+		if en.Leaving || tried[en.ID] {
+			continue
+		}
+		cost := ta.row(en.ID).cost(en, now)
+		if en.Domain == domain {
+			cost /= sameDomain
+		}
+		if !found || cost < bestCost {
+			best, bestCost, found = en, cost, true
+		}
+	}
+	if found {
+		ro := ta.row(best.ID)
+		ro.inFlight++
+		ro.seenAt = now
+	}
+	return best, found
+}
+
+// penaltyCost is larger than any cost by latency, in seconds.
+const penaltyCost = 1000
+
+func (ro *row) cost(en directory.Endpoint, now time.Time) float64 {
+	busy := ro.inFlight
+	if now.Sub(ro.loadAt) < loadLife {
+		busy = max(busy, ro.load.running+ro.load.waiting)
+	}
+	cost := ro.latency.Seconds() * (1 + float64(busy)/float64(max(en.Slots, 1)))
+	if now.Before(ro.penalty) {
+		cost += penaltyCost + ro.penalty.Sub(now).Seconds()
+	}
+	return cost
+}
+
+// Answered counts an answer and its latency.
+func (ta *Table) Answered(id string, took time.Duration, lo load, hasLoad bool, now time.Time) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	ro := ta.row(id)
+	ro.failures = 0
+	ro.penalty = time.Time{}
+	ro.latency += time.Duration(latencyWeight * float64(took-ro.latency))
+	if hasLoad {
+		ro.load, ro.loadAt = lo, now
+	}
+}
+
+// Failed counts a failure, and passes the endpoint over for a while.
+func (ta *Table) Failed(id string, now time.Time) time.Duration {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	ro := ta.row(id)
+	penalty := min(firstPenalty<<min(ro.failures, 4), maxPenalty)
+	ro.failures++
+	ro.penalty = now.Add(penalty)
+	return penalty
+}
+
+// Slow counts a request that waits longer than usual, so that the next ones go
+// elsewhere before this one ends.
+func (ta *Table) Slow(id string, waited time.Duration) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	ro := ta.row(id)
+	ro.latency = max(ro.latency, waited)
+}
+
+// Done ends what Pick counted.
+func (ta *Table) Done(id string) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	ta.row(id).inFlight--
+}
+
+// Latency returns the usual latency among endpoints: the least mean of those
+// given.
+func (ta *Table) Latency(ens []directory.Endpoint) time.Duration {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	least := time.Duration(0)
+	for _, en := range ens {
+		if la := ta.row(en.ID).latency; least == 0 || la < least {
+			least = la
+		}
+	}
+	return least
+}
+
+// Forget drops the rows of endpoints that are gone.
+func (ta *Table) Forget(exists func(id string) bool) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	for id, ro := range ta.rows {
+		if ro.inFlight == 0 && !exists(id) {
+			delete(ta.rows, id)
+		}
+	}
+}
--- a/keyvalue/client.go
+++ b/keyvalue/client.go
@@ -47,6 +47,8 @@
 type Client struct {
 	// DeleteFunc removes key if it is at version expected.
 	DeleteFunc func(ctx context.Context, key string, expected int64) error
+	// FollowFunc waits for changes under a prefix; see Follow.
+	FollowFunc func(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error)
 	// GetFunc returns the item of key, or ErrNotFound.
 	GetFunc func(ctx context.Context, key string) (Item, error)
 	// GrantFunc starts a lease that expires unless kept alive.
@@ -60,6 +62,10 @@
 	PutFunc func(ctx context.Context, key string, value []byte, expected int64, lease LeaseID) (int64, error)
 	// RevokeFunc ends a lease and removes its keys.
 	RevokeFunc func(ctx context.Context, id LeaseID) error
+	// ScanFunc lists a prefix together with the version to follow from.
+	ScanFunc func(ctx context.Context, prefix string) (Changes, error)
+	// TransactFunc applies a transaction; see Transact.
+	TransactFunc func(ctx context.Context, tx Transaction) (int64, error)
 	// WatchFunc waits until key is at a version above after and returns its
 	// item, which has a nil Value if the key was deleted. It returns the
 	// context's error when that ends first.
--- a/keyvalue/memory.go
+++ b/keyvalue/memory.go
@@ -40,6 +40,8 @@
 	faults  Faults
 	items   map[string]Item
 	deleted map[string]int64
+
+	forgotten int64 // no history is held before this version
 	lastID  LeaseID
 	leases  map[LeaseID]memoryLease
 	version int64
@@ -49,12 +51,15 @@
 func (me *Memory) Client() *Client {
 	return &Client{
 		DeleteFunc:    me.delete,
+		FollowFunc:    me.follow,
 		GetFunc:       me.get,
 		GrantFunc:     me.grant,
 		KeepAliveFunc: me.keepAlive,
 		ListFunc:      me.list,
 		PutFunc:       me.put,
 		RevokeFunc:    me.revoke,
+		ScanFunc:      me.scan,
+		TransactFunc:  me.transact,
 		WatchFunc:     me.watch,
 	}
 }
--- /dev/null
+++ b/keyvalue/memorytransaction.go
@@ -0,0 +1,115 @@
+package keyvalue
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"time"
+)
+
+func (me *Memory) transact(ctx context.Context, tx Transaction) (int64, error) {
+	if err := me.enter(ctx, countWrite); err != nil {
+		return 0, err
+	}
+	defer me.mu.Unlock()
+	for _, ex := range tx.Expects {
+		if me.items[ex.Key].Version != ex.Version {
+			return 0, ErrConflict
+		}
+	}
+	for _, wr := range tx.Writes {
+		if _, ok := me.leases[wr.Lease]; wr.Lease != 0 && !ok {
+			return 0, ErrLeaseExpired
+		}
+	}
+	me.version++
+	for _, wr := range tx.Writes {
+		me.items[wr.Key] = Item{
+			Key: wr.Key, Lease: wr.Lease, Value: append([]byte{}, wr.Value...), Version: me.version,
+		}
+	}
+	for _, key := range tx.Deletes {
+		delete(me.items, key)
+		me.deleted[key] = me.version
+	}
+	me.wake()
+	return me.version, me.outcome()
+}
+
+func (me *Memory) scan(ctx context.Context, prefix string) (Changes, error) {
+	its, err := me.list(ctx, prefix)
+	if err != nil {
+		return Changes{}, err
+	}
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	return Changes{Items: its, Version: me.version}, nil
+}
+
+func (me *Memory) follow(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error) {
+	if err := me.enter(ctx, countWatch); err != nil {
+		return Changes{}, err
+	}
+	defer me.mu.Unlock()
+	end := time.Now().Add(wait)
+	for {
+		me.expire(time.Now())
+		if me.faults.Outage {
+			return Changes{}, ErrUnavailable
+		}
+		if after < me.forgotten {
+			return Changes{}, ErrHistoryGone
+		}
+		ch := Changes{Items: me.changesAfter(prefix, after), Version: me.version}
+		left := time.Until(end)
+		if len(ch.Items) > 0 || left <= 0 {
+			return ch, nil
+		}
+		changed := me.changed
+		me.mu.Unlock()
+		err := awaitChange(ctx, changed, min(left, time.Second)) // leases expire without a write
+		me.mu.Lock()
+		if err != nil {
+			return Changes{}, err
+		}
+	}
+}
+
+func awaitChange(ctx context.Context, changed <-chan struct{}, wait time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-changed:
+	case <-time.After(wait):
+	}
+	return nil
+}
+
+// changesAfter returns what changed under a prefix after a version, in order.
+// The caller holds mu.
+func (me *Memory) changesAfter(prefix string, after int64) []Item {
+	var its []Item
+	for key, it := range me.items {
+		if strings.HasPrefix(key, prefix) && it.Version > after {
+			its = append(its, it)
+		}
+	}
+	for key, ve := range me.deleted {
+		_, exists := me.items[key]
+		if strings.HasPrefix(key, prefix) && ve > after && !exists {
+			its = append(its, Item{Key: key, Version: ve})
+		}
+	}
+	sort.Slice(its, func(i, j int) bool { return its[i].Version < its[j].Version })
+	return its
+}
+
+// Forget drops the history, so that whoever follows from an older version has
+// to scan again.
+func (me *Memory) Forget() {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	me.forgotten = me.version + 1
+	me.version++
+	me.wake()
+}
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -61,6 +61,7 @@
 // A grant is one acquisition of the lease. The zero grant is none.
 type grant struct {
 	epoch uint64
+	fence int64  // version of the counter of epochs since this acquisition raised it
 	id    string // unique, so that a lost answer can be settled by reading
 	lease keyvalue.LeaseID
 	until time.Time // when the lease may be over
@@ -94,6 +95,19 @@
 	}
 }
 
+// Fence returns what a transaction of the holder under an epoch expects, so
+// that it is applied only while no later holder has raised the epoch.
+//
+// A write that the service delays may be applied after its sender has lost the
+// lease, and would overwrite what the next holder wrote. The expectation makes
+// the service itself refuse it.
+func (ho *Holder) Fence(epoch uint64) (keyvalue.Expectation, bool) {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	gr := ho.grant
+	return keyvalue.Expectation{Key: epochPrefix + ho.Name, Version: gr.fence}, epoch != 0 && gr.epoch == epoch
+}
+
 // Run steps until ctx ends. It does not release the lease.
 //
 // Holders that started together would find a name free in the same moment, at
@@ -235,7 +249,7 @@
 		return
 	}
 	gr := grant{id: uuid.NewString(), lease: id, until: ho.expiry(sent)}
-	gr.epoch, err = raise(ctx, ho.Client, ho.Name, gr.id, ho.highest)
+	gr.epoch, gr.fence, err = raise(ctx, ho.Client, ho.Name, gr.id, ho.highest)
 	if err == nil {
 		err = ho.take(ctx, gr)
 	}
--- a/plainservice/http.go
+++ b/plainservice/http.go
@@ -19,7 +19,9 @@
 	cl.NotSent = ErrNotSent
 	return &Client{
 		CallFunc: func(ctx context.Context, req Request) (Answer, error) {
-			an, err := cl.Do(ctx, roundtrip.Request(req))
+			an, err := cl.Do(ctx, roundtrip.Request{
+				Body: req.Body, Header: req.Header, ID: req.ID, Method: req.Method, Path: req.Path,
+			})
 			return Answer(an), errors.Wrapf(err, "call %s", req.Path)
 		},
 		ReportFunc: func(ctx context.Context) (Report, error) {
--- a/roundtrip/client.go
+++ b/roundtrip/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -31,6 +32,8 @@
 	// Crossed: the answer doesn't echo the request's id.
 	Crossed error
 	HTTP    *http.Client
+	// IDHeader carries the request's id instead of the package's IDHeader.
+	IDHeader string
 	// NotSent: no byte of the request was or will be written.
 	NotSent error
 }
@@ -56,7 +59,8 @@
 type Request struct {
 	Body   []byte
 	Header http.Header
-	ID     string
+	Host   string // empty for the server's own
+	ID     string // empty: nothing is sent, and no echo is checked
 	Method string
 	Path   string // with its query
 }
@@ -89,7 +93,7 @@
 		}
 		return Answer{}, errors.Wrapf(cl.Broken, "%v", err)
 	}
-	if echo := resp.Header.Get(IDHeader); echo != req.ID {
+	if echo := resp.Header.Get(cl.idHeader()); req.ID != "" && echo != req.ID {
 		_ = resp.Body.Close()
 		wa.drop()
 		return Answer{}, errors.Wrapf(cl.Crossed, "answer to %q came for %q", echo, req.ID)
@@ -113,13 +117,18 @@
 	if req.Header != nil {
 		hr.Header = req.Header.Clone()
 	}
+	if req.Host != "" {
+		hr.Host = req.Host
+	}
 	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
 		if values, ok := hr.Header[name]; ok {
 			delete(hr.Header, name)
 			hr.Header[strings.ToLower(name)] = values
 		}
 	}
-	hr.Header.Set(IDHeader, req.ID)
+	if req.ID != "" {
+		hr.Header.Set(cl.idHeader(), req.ID)
+	}
 	hr.GetBody = nil
 	if hr.Body == http.NoBody && bodiless(hr.Method) {
 		hr.Body = io.NopCloser(strings.NewReader("")) // NoBody counts as rewindable
@@ -127,6 +136,8 @@
 	return hr, nil
 }
 
+func (cl Client) idHeader() string { return cmp.Or(cl.IDHeader, IDHeader) }
+
 // bodiless tells whether requests of a method have no body as a rule, so that
 // the transport looks into the body before it announces one.
 func bodiless(method string) bool {
--- /dev/null
+++ b/runner/message.go
@@ -0,0 +1,112 @@
+// Package runner is what an attendant does for the scheduler: it runs items of
+// steps at the engine beside it, keeps their text until the scheduler has made
+// it last, and gives the engine its orders. It is the only one that gives that
+// engine orders, so that no two processes can.
+package runner
+
+import "time"
+
+// ExchangeMethod is the one call that the scheduler makes to an attendant.
+const ExchangeMethod = "runner.Exchange"
+
+// A Key names one run of an item.
+type Key struct {
+	Attempt uint64 // unique among all runs of all schedulers
+	Item    string
+	Step    string
+}
+
+// An Event is one event of a run's text.
+type Event struct {
+	Data    []byte
+	ID      int64
+	Version uint64 // of the weights that generated it
+}
+
+// A Launch asks for a run.
+type Launch struct {
+	Body     []byte
+	Endpoint string // the engine that the run is for; any other refuses it
+	Header   map[string]string
+	Host     string
+	Key      Key
+	Path     string
+	Prior    []Event // text that earlier runs made; the run goes on after it
+	Version  uint64  // of the weights that the run is for; 0 means any
+}
+
+// An Order asks for other weights.
+type Order struct {
+	Endpoint string
+	Fence    uint64 // the scheduler's epoch
+	Keep     bool   // what runs goes on under the new version, else it ends first
+	Model    string
+	Version  uint64
+}
+
+// A Seen is how many events of a run the scheduler has.
+type Seen struct {
+	Events int
+	Key    Key
+}
+
+// An ExchangeRequest is what the scheduler wants done, and what it knows.
+type ExchangeRequest struct {
+	Epoch    uint64 // of the scheduler; an older one is refused
+	Forget   []Key  // runs that need not be kept any longer
+	Launches []Launch
+	Order    *Order
+	Seen     []Seen
+	Stops    []Key
+}
+
+// A State is what became of a run.
+type State int
+
+// The states of runs.
+const (
+	Running    State = iota
+	Complete         // the text is whole
+	Broken           // ended without its last event; may go on elsewhere
+	Failed           // the engine answered that it failed
+	Impossible       // the engine answered that the item can never be done
+	NotRun           // the engine did not run it
+	Stopped          // ended because the scheduler asked
+)
+
+var states = [...]string{
+	Running: "running", Complete: "complete", Broken: "broken", Failed: "failed",
+	Impossible: "impossible", NotRun: "not-run", Stopped: "stopped",
+}
+
+// String returns the state's name.
+func (st State) String() string { return states[st] }
+
+// A Progress is a run and those of its events that the scheduler lacks.
+type Progress struct {
+	Detail string // why it ended, for logs
+	Events []Event
+	First  int // position of the first of Events in the run's text
+	Key    Key
+	State  State
+}
+
+// A Report is what an engine says of itself.
+type Report struct {
+	Active   int
+	Busy     bool // an order is under way
+	Queued   int
+	Sequence uint64 // orders that it has taken
+	Tokens   int    // memory that can't be freed, in tokens
+	Versions map[string]uint64
+}
+
+// An ExchangeResponse is what an attendant holds.
+type ExchangeResponse struct {
+	Boot      string // changes with each start of the attendant
+	Ordered   uint64 // version of the order under way, or 0
+	Reachable bool   // the engine answers its report
+	Report    Report
+	ReportAge time.Duration
+	Runs      []Progress
+}
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,271 @@
+package runner
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+)
+
+// Bounds of an attendant's work.
+const (
+	// reportEvery is how often the engine is asked for its report while the
+	// scheduler is there. The engine's own figures lag by about 100 ms.
+	reportEvery = 150 * time.Millisecond
+	// reportTimeout bounds one report, which the engine answers without a slot.
+	reportTimeout = 500 * time.Millisecond
+	// reachableFor is how long a report counts.
+	reachableFor = time.Second
+	// schedulerGone is after how long without a scheduler the engine is no
+	// longer asked: nothing would use the answer.
+	schedulerGone = 5 * time.Second
+	// maxResponse bounds the text in one response, in bytes. A message may have
+	// 2 MB.
+	maxResponse = 1 << 20
+	// maxHeld bounds the runs that are kept for a scheduler that doesn't come.
+	// Each may hold some 70 KB.
+	maxHeld = 400
+)
+
+// ErrOldEpoch means that the call came from a scheduler that was replaced.
+var ErrOldEpoch = errors.New("a later scheduler has called")
+
+// A run is one run of an item.
+type run struct {
+	cancel  context.CancelFunc
+	detail  string
+	ended   time.Time
+	events  []Event
+	key     Key
+	seen    int
+	state   State
+	stopped bool
+}
+
+// A Runner runs items at one engine. Fill the exported fields, then call Run.
+type Runner struct {
+	Engine  Engine
+	Log     *logrus.Entry
+	Metrics *metrics.Set
+
+	boot     string
+	epoch    uint64
+	lastCall time.Time
+	mu       sync.Mutex
+	orders   orders
+	report   Report
+	reportAt time.Time
+	root     context.Context
+	runs     map[Key]*run
+}
+
+// Run asks the engine for its report and carries out orders until ctx ends.
+func (rn *Runner) Run(ctx context.Context) {
+	rn.mu.Lock()
+	rn.init()
+	rn.root = ctx
+	rn.mu.Unlock()
+	ti := time.NewTicker(reportEvery)
+	defer ti.Stop()
+	for {
+		rn.mu.Lock()
+		wanted := time.Since(rn.lastCall) < schedulerGone
+		rn.mu.Unlock()
+		if wanted {
+			rn.refresh(ctx)
+			rn.stepOrder(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ti.C:
+		}
+	}
+}
+
+func (rn *Runner) init() {
+	if rn.runs == nil {
+		rn.boot = uuid.NewString()
+		rn.root = context.Background()
+		rn.runs = map[Key]*run{}
+	}
+}
+
+// refresh asks the engine for its report.
+func (rn *Runner) refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	re, err := rn.Engine.ReportFunc(ctx)
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	was := rn.reachable()
+	if err == nil {
+		rn.report, rn.reportAt = re, time.Now()
+	}
+	if is := rn.reachable(); is != was {
+		rn.Log.WithFields(logrus.Fields{"dependency": "engine", "error": err, "reachable": is}).Warn("dependency changed")
+	}
+}
+
+func (rn *Runner) reachable() bool { return time.Since(rn.reportAt) < reachableFor }
+
+// Exchange takes what the scheduler wants done and returns what it lacks.
+func (rn *Runner) Exchange(_ context.Context, rq ExchangeRequest) (ExchangeResponse, error) {
+	if err := rn.take(rq); err != nil {
+		return ExchangeResponse{}, err
+	}
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	return rn.response(), nil
+}
+
+// take applies a request.
+func (rn *Runner) take(rq ExchangeRequest) error {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	rn.init()
+	if rq.Epoch < rn.epoch {
+		return errors.Wrapf(ErrOldEpoch, "epoch %d, not %d", rn.epoch, rq.Epoch)
+	}
+	rn.lastCall = time.Now()
+	if rq.Epoch > rn.epoch {
+		rn.welcome(rq.Epoch)
+	}
+	for _, se := range rq.Seen {
+		if ru, ok := rn.runs[se.Key]; ok {
+			ru.seen = min(max(ru.seen, se.Events), len(ru.events))
+		}
+	}
+	for _, key := range rq.Stops {
+		rn.stop(key)
+	}
+	for _, key := range rq.Forget {
+		rn.stop(key)
+		delete(rn.runs, key)
+	}
+	for _, la := range rq.Launches {
+		rn.launch(la)
+	}
+	if rq.Order != nil {
+		rn.orders.want(*rq.Order)
+	}
+	return nil
+}
+
+// welcome takes a new scheduler on: it knows nothing and gets everything.
+func (rn *Runner) welcome(epoch uint64) {
+	rn.Log.WithFields(logrus.Fields{"epoch": epoch, "runs": len(rn.runs)}).Info("new scheduler")
+	rn.epoch = epoch
+	rn.orders.want(Order{})
+	for _, ru := range rn.runs {
+		ru.seen = 0
+	}
+}
+
+func (rn *Runner) stop(key Key) {
+	ru, ok := rn.runs[key]
+	if !ok || ru.state != Running {
+		return
+	}
+	ru.stopped = true
+	ru.cancel()
+}
+
+// launch starts a run unless a repeated message asks for it again.
+func (rn *Runner) launch(la Launch) {
+	if _, ok := rn.runs[la.Key]; ok {
+		return
+	}
+	rn.dropOldest()
+	ctx, cancel := context.WithCancel(rn.root)
+	ru := &run{cancel: cancel, events: slices.Clone(la.Prior), key: la.Key, seen: len(la.Prior)}
+	rn.runs[la.Key] = ru
+	go rn.execute(ctx, ru, la)
+}
+
+// dropOldest makes room by dropping the run that ended first.
+func (rn *Runner) dropOldest() {
+	if len(rn.runs) < maxHeld {
+		return
+	}
+	var oldest *run
+	for _, ru := range rn.runs {
+		if ru.state != Running && (oldest == nil || ru.ended.Before(oldest.ended)) {
+			oldest = ru
+		}
+	}
+	if oldest != nil {
+		delete(rn.runs, oldest.key)
+	}
+}
+
+// execute runs an item to its end.
+func (rn *Runner) execute(ctx context.Context, ru *run, la Launch) {
+	defer ru.cancel()
+	begun := time.Now()
+	st := rn.Engine.StartFunc(ctx, la)
+	if st.State == Running {
+		st.State, st.Detail = rn.read(ru, st.Stream)
+		st.Stream.CloseFunc()
+	}
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	if ru.stopped && st.State != Complete {
+		st.State = Stopped
+	}
+	ru.state, ru.detail, ru.ended = st.State, st.Detail, time.Now()
+	rn.Metrics.GetOrCreateHistogram(`wisteriacroft_run_seconds{state="` + st.State.String() + `"}`).UpdateDuration(begun)
+	rn.Log.WithFields(logrus.Fields{
+		"after": len(la.Prior), "attempt": la.Key.Attempt, "detail": st.Detail, "endpoint": la.Endpoint,
+		"events": len(ru.events), "item": la.Key.Item, "ms": time.Since(begun).Milliseconds(),
+		"state": st.State.String(), "step": la.Key.Step, "version": la.Version,
+	}).Info("run ended")
+}
+
+// read takes a run's events until its end.
+func (rn *Runner) read(ru *run, st Stream) (State, string) {
+	for {
+		ev, err := st.NextFunc()
+		if err != nil {
+			return ending(err)
+		}
+		rn.mu.Lock()
+		last := int64(0)
+		if len(ru.events) > 0 {
+			last = ru.events[len(ru.events)-1].ID
+		}
+		gap := ev.ID != last+1
+		if !gap {
+			ru.events = append(ru.events, ev)
+		}
+		rn.mu.Unlock()
+		if gap {
+			return Broken, "an event is missing or came twice"
+		}
+	}
+}
+
+func (rn *Runner) response() ExchangeResponse {
+	re := ExchangeResponse{
+		Boot: rn.boot, Ordered: rn.orders.underWay(), Reachable: rn.reachable(), Report: rn.report,
+		ReportAge: time.Since(rn.reportAt),
+	}
+	size := 0
+	for _, ru := range rn.runs {
+		if size > maxResponse {
+			break
+		}
+		pr := Progress{Detail: ru.detail, Events: ru.events[ru.seen:], First: ru.seen, Key: ru.key, State: ru.state}
+		for _, ev := range pr.Events {
+			size += len(ev.Data)
+		}
+		pr.Events = slices.Clone(pr.Events)
+		re.Runs = append(re.Runs, pr)
+	}
+	return re
+}
--- /dev/null
+++ b/step/door.go
@@ -0,0 +1,184 @@
+package step
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"wisteriacroft/keyvalue"
+	"wisteriacroft/lease"
+	"wisteriacroft/peer"
+)
+
+// Bounds of an entry's part in steps.
+const (
+	// writeTimeout bounds one write of a step or its end. The service answers
+	// within 4 ms as a rule, and some 60 times slower at times.
+	writeTimeout = 800 * time.Millisecond
+	// acceptTime is how long an entry tries to find out whether a step that it
+	// wrote is kept, before it answers that it doesn't know.
+	acceptTime = 3500 * time.Millisecond
+	// askTimeout bounds a question to the scheduler beyond the wait it asks for.
+	askTimeout = 1200 * time.Millisecond
+	// lookEvery is how often an entry asks who the scheduler is while it can't
+	// be reached.
+	lookEvery = 300 * time.Millisecond
+)
+
+// A Door is an entry's part in steps: it keeps what trainers hand in, and asks
+// the scheduler for what they read. Fill the exported fields before use.
+type Door struct {
+	Keeper *Keeper
+	Log    *logrus.Entry
+	Pool   *peer.Pool
+
+	lookedAt  time.Time
+	mu        sync.Mutex
+	scheduler string // address; empty if not known
+}
+
+// Accept keeps a step. ErrUnavailable means that it is not kept and won't be;
+// ErrOutcomeUnknown that this can't be told.
+//
+// A write that got no answer may take effect seconds later. To refuse the step
+// then would be untrue, so it is repeated until an answer tells: whichever of
+// the writes comes first counts, and the others find the step kept.
+func (do *Door) Accept(ctx context.Context, st *Step) error {
+	ctx, cancel := context.WithTimeout(ctx, acceptTime)
+	defer cancel()
+	unsure := false
+	for try := 1; ; try++ {
+		err := do.write(ctx, acceptMethod, *st, func(ctx context.Context) error { return do.Keeper.Accept(ctx, st) })
+		unsure = unsure || err != nil && !notWritten(err)
+		do.Log.WithFields(logrus.Fields{"error": err, "step": st.ID, "try": try, "unsure": unsure}).Info("step handed in")
+		switch {
+		case err == nil:
+			return nil
+		case !unsure:
+			return errors.Wrap(keyvalue.ErrUnavailable, err.Error())
+		case ctx.Err() != nil:
+			return errors.Wrap(keyvalue.ErrOutcomeUnknown, err.Error())
+		}
+		pause(ctx, retryAfter)
+	}
+}
+
+// notWritten reports whether a failed write surely has no effect.
+func notWritten(err error) bool {
+	return errors.IsAny(err, keyvalue.ErrUnavailable, keyvalue.ErrTooLarge, ErrTooManyParts)
+}
+
+// write makes a write, over the scheduler if the service is away from here: it
+// turns single instances away at times, and the scheduler holds a lease of it.
+func (do *Door) write(ctx context.Context, method string, rq any, direct func(context.Context) error) error {
+	cx, cancel := context.WithTimeout(ctx, writeTimeout)
+	err := direct(cx)
+	cancel()
+	if err == nil || errors.Is(err, ErrTooManyParts) {
+		return err
+	}
+	address := do.address(ctx)
+	if address == "" {
+		return err
+	}
+	cx, cancel = context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	_, errPeer := peer.Call[any, Empty](cx, do.Pool, address, method, rq)
+	switch {
+	case errPeer == nil:
+		return nil
+	case errors.Is(errPeer, peer.ErrNotSent), notWritten(errPeer):
+		return err
+	case notWritten(err):
+		return errors.Wrap(keyvalue.ErrOutcomeUnknown, errPeer.Error())
+	default:
+		return err
+	}
+}
+
+// End keeps that a step has ended.
+func (do *Door) End(ctx context.Context, id string) error {
+	return do.write(ctx, endMethod, EndRequest{ID: id}, func(ctx context.Context) error { return do.Keeper.End(ctx, id) })
+}
+
+// Read returns a step's results from a position on. ErrUnknownStep means that
+// there is no such step, any other error that it can't be told now.
+func (do *Door) Read(ctx context.Context, rq ReadRequest) (Listing, error) {
+	li, err := ask[ReadRequest, Listing](ctx, do, readMethod, rq, rq.Wait+askTimeout)
+	if err == nil || errors.Is(err, ErrUnknownStep) {
+		return li, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return do.Keeper.Read(ctx, rq)
+}
+
+// Body returns the body of a step's item.
+func (do *Door) Body(ctx context.Context, rq BodyRequest) (BodyResponse, error) {
+	re, err := ask[BodyRequest, BodyResponse](ctx, do, bodyMethod, rq, askTimeout)
+	if err == nil || errors.Is(err, ErrUnknownStep) {
+		return re, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	st, err := do.Keeper.Load(ctx, rq.Step)
+	if err != nil {
+		return BodyResponse{}, err
+	}
+	return st.body(rq.Item), nil
+}
+
+// ask calls the scheduler, and once more the one that replaced it.
+func ask[Req, Resp any](ctx context.Context, do *Door, method string, rq Req, timeout time.Duration) (Resp, error) {
+	var resp Resp
+	err := errNotScheduler
+	for range 2 {
+		address := do.address(ctx)
+		if address == "" {
+			return resp, err
+		}
+		cx, cancel := context.WithTimeout(ctx, timeout)
+		resp, err = peer.Call[Req, Resp](cx, do.Pool, address, method, rq)
+		cancel()
+		if err == nil || errors.Is(err, ErrUnknownStep) {
+			return resp, err
+		}
+		do.lose(address, err)
+	}
+	return resp, err
+}
+
+// address returns where the scheduler is, or "".
+func (do *Door) address(ctx context.Context) string {
+	do.mu.Lock()
+	if do.scheduler != "" || time.Since(do.lookedAt) < lookEvery {
+		defer do.mu.Unlock()
+		return do.scheduler
+	}
+	do.lookedAt = time.Now()
+	do.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	rec, err := lease.Current(ctx, do.Keeper.Client, LeaseName)
+	do.Log.WithFields(logrus.Fields{"address": rec.Owner, "epoch": rec.Epoch, "error": err}).Info("looked for the scheduler")
+	if err != nil {
+		return ""
+	}
+	do.mu.Lock()
+	defer do.mu.Unlock()
+	do.scheduler = rec.Owner
+	return rec.Owner
+}
+
+// lose forgets a scheduler that can't be reached.
+func (do *Door) lose(address string, err error) {
+	do.mu.Lock()
+	defer do.mu.Unlock()
+	if do.scheduler == address {
+		do.scheduler = ""
+		do.Log.WithFields(logrus.Fields{"address": address, "dependency": "scheduler", "error": err}).Warn("dependency lost")
+	}
+}
--- /dev/null
+++ b/step/engines.go
@@ -0,0 +1,244 @@
+package step
+
+import (
+	"time"
+
+	"wisteriacroft/runner"
+)
+
+// Bounds of what is believed of an engine.
+const (
+	// silentAfter is after how long without an answer of its attendant an
+	// engine's runs go on elsewhere. Answers come each 100 to 200 ms.
+	silentAfter = 1200 * time.Millisecond
+	// failedFor is for how long an engine that broke a run gets no new ones
+	// while others have places.
+	failedFor = time.Second
+)
+
+// An EngineInfo is an engine as the directory knows it.
+type EngineInfo struct {
+	Address  string // of the attendant beside it
+	Domain   string
+	ID       string
+	Leaving  bool
+	Service  string
+	Slots    int
+	Tokens   int // memory
+	Versions map[string]uint64
+}
+
+// SetEngines takes the engines that are there in, and drops the others with
+// their runs.
+func (ta *Table) SetEngines(infos []EngineInfo, now time.Time) {
+	present := map[string]bool{}
+	for _, in := range infos {
+		present[in.ID] = true
+		en := ta.engines[in.ID]
+		if en == nil {
+			en = &engineRow{
+				forget: map[runner.Key]bool{}, id: in.ID, items: map[runner.Key]*itemRow{}, joinedAt: now,
+				versions: map[string]uint64{},
+			}
+			ta.engines[in.ID] = en
+			ta.log("engine joined", map[string]any{"engine": in.ID, "service": in.Service})
+		}
+		en.address, en.domain, en.service = in.Address, in.Domain, in.Service
+		en.slots, en.tokens = in.Slots, in.Tokens
+		en.leaving = in.Leaving
+		for model, version := range in.Versions {
+			en.versions[model] = max(en.versions[model], version)
+		}
+	}
+	for id, en := range ta.engines {
+		if !present[id] {
+			ta.drop(en, "engine is gone", now)
+			delete(ta.engines, id)
+		}
+	}
+}
+
+// drop lets an engine's runs go on elsewhere.
+func (ta *Table) drop(en *engineRow, why string, now time.Time) {
+	for _, ir := range en.items {
+		ta.requeue(ir, why, now)
+	}
+}
+
+// SetVersion takes the newest version that was named for a model in.
+func (ta *Table) SetVersion(model string, version uint64) {
+	ta.named[model] = max(ta.named[model], version)
+}
+
+// Silence moves the runs of engines whose attendants have not answered for too
+// long.
+func (ta *Table) Silence(now time.Time) {
+	for _, en := range ta.engines {
+		if len(en.items) > 0 && !en.heardAt.IsZero() && now.Sub(en.heardAt) > silentAfter {
+			ta.drop(en, "attendant is silent", now)
+		}
+	}
+}
+
+// Request returns what an engine's attendant is to do.
+func (ta *Table) Request(id string) (runner.ExchangeRequest, bool) {
+	en, ok := ta.engines[id]
+	if !ok {
+		return runner.ExchangeRequest{}, false
+	}
+	rq := runner.ExchangeRequest{Epoch: ta.epoch, Order: en.order}
+	for key, ir := range en.items {
+		if !ir.run.confirmed {
+			rq.Launches = append(rq.Launches, ta.launch(ir))
+			continue
+		}
+		rq.Seen = append(rq.Seen, runner.Seen{Events: len(ir.events), Key: key})
+		if ir.run.stopping {
+			rq.Stops = append(rq.Stops, key)
+		}
+	}
+	for key := range en.forget {
+		rq.Forget = append(rq.Forget, key)
+	}
+	return rq, true
+}
+
+func (ta *Table) launch(ir *itemRow) runner.Launch {
+	return runner.Launch{
+		Body: ir.item.Body, Endpoint: ir.run.engine, Header: ir.item.Header, Host: ir.step.step.Host, Key: ir.run.key,
+		Path: ir.item.Path, Prior: ir.events[:ir.run.prior], Version: ir.run.version,
+	}
+}
+
+// Heard takes an attendant's answer to a request in.
+func (ta *Table) Heard(id string, rq runner.ExchangeRequest, re runner.ExchangeResponse, now time.Time) {
+	en, ok := ta.engines[id]
+	if !ok {
+		return
+	}
+	if en.boot != "" && en.boot != re.Boot {
+		ta.drop(en, "attendant has started again", now)
+	}
+	en.boot, en.heardAt, en.report, en.sick = re.Boot, now, re.Report, !re.Reachable
+	for model, version := range re.Report.Versions {
+		en.versions[model] = version
+	}
+	for _, key := range rq.Forget {
+		delete(en.forget, key)
+	}
+	alive := 0
+	for _, pr := range re.Runs {
+		if pr.State == runner.Running {
+			alive++
+		}
+		ta.progress(en, pr, now)
+	}
+	en.foreign = max(0, re.Report.Active+re.Report.Queued-alive)
+	en.ordered = en.order != nil && re.Ordered == en.order.Version
+	if en.order != nil && re.Ordered == 0 && en.versions[en.order.Model] >= en.order.Version && !re.Report.Busy {
+		en.order = nil
+	}
+}
+
+// progress takes what an attendant says of a run in.
+func (ta *Table) progress(en *engineRow, pr runner.Progress, now time.Time) {
+	ir, ok := en.items[pr.Key]
+	if !ok {
+		if !ta.adopt(en, pr, now) {
+			en.forget[pr.Key] = true
+			return
+		}
+		ir = en.items[pr.Key]
+	}
+	ir.run.confirmed = true
+	if !ta.append(en, ir, pr, now) {
+		return
+	}
+	switch pr.State {
+	case runner.Running:
+	case runner.Complete:
+		if len(ir.events) == 0 {
+			ta.requeue(ir, "no text", now)
+			return
+		}
+		ta.release(ir)
+		ta.settle(ir, complete, now)
+	case runner.Impossible:
+		ta.release(ir)
+		ta.giveUp(ir, pr.Detail, now)
+	case runner.Failed:
+		ta.fail(ir, pr.Detail, now)
+	case runner.NotRun:
+		en.failed = now
+		ta.requeue(ir, "not run: "+pr.Detail, now)
+	case runner.Broken:
+		en.failed = now
+		ta.requeue(ir, "broken: "+pr.Detail, now)
+	case runner.Stopped:
+		ta.requeue(ir, "stopped", now)
+	}
+}
+
+// adopt takes over a run that an earlier scheduler started.
+func (ta *Table) adopt(en *engineRow, pr runner.Progress, now time.Time) bool {
+	sr, ok := ta.steps[pr.Key.Step]
+	if !ok || sr.ended || pr.First != 0 {
+		return false
+	}
+	for _, ir := range sr.items {
+		if ir.item.ID != pr.Key.Item {
+			continue
+		}
+		if ir.state != waiting || len(pr.Events) < len(ir.events) {
+			return false
+		}
+		ir.events = nil
+		ir.state, ir.since = running, now
+		ir.run = run{confirmed: true, engine: en.id, eventAt: now, key: pr.Key}
+		en.items[pr.Key] = ir
+		ta.log("run taken over", map[string]any{
+			"attempt": pr.Key.Attempt, "engine": en.id, "events": len(pr.Events), "item": pr.Key.Item, "step": pr.Key.Step,
+		})
+		return true
+	}
+	return false
+}
+
+// append adds a run's events to its item's text. It returns false if the text
+// can't be used, and the item has to start again.
+func (ta *Table) append(en *engineRow, ir *itemRow, pr runner.Progress, now time.Time) bool {
+	if pr.First > len(ir.events) {
+		return true // an answer that was overtaken; the next has all
+	}
+	fresh := pr.Events[min(len(ir.events)-pr.First, len(pr.Events)):]
+	if len(fresh) == 0 {
+		return true
+	}
+	if !ir.run.stopping {
+		en.pace.observe(len(fresh), now.Sub(ir.run.eventAt))
+	}
+	ir.run.eventAt = now
+	ir.events = append(ir.events[:len(ir.events):len(ir.events)], fresh...)
+	if ir.step.step.fits(ir.events) {
+		return true
+	}
+	ta.requeue(ir, "made by a version that the step may not have", now)
+	ir.events = nil
+	return false
+}
+
+// fail counts an answer that an item failed.
+func (ta *Table) fail(ir *itemRow, detail string, now time.Time) {
+	ir.failures++
+	if ir.failures >= max(ir.step.step.MaxAttempts, 1) {
+		ta.release(ir)
+		ta.giveUp(ir, "failed too often: "+detail, now)
+		return
+	}
+	ta.requeue(ir, "failed: "+detail, now)
+}
+
+func (ta *Table) giveUp(ir *itemRow, why string, now time.Time) {
+	ta.log("item given up", map[string]any{"item": ir.item.ID, "step": ir.step.step.ID, "why": why})
+	ta.settle(ir, lost, now)
+}
--- /dev/null
+++ b/step/keep.go
@@ -0,0 +1,269 @@
+package step
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"wisteriacroft/keyvalue"
+)
+
+// Prefixes of the keys of steps. Steps and their ends share one, so that one
+// call follows both.
+const (
+	intakePrefix = "wisteriacroft/intake/"
+	stepPrefix   = intakePrefix + "step/" // then ID/PART
+	endPrefix    = intakePrefix + "end/"  // then ID
+	listedPrefix = "wisteriacroft/listed/"
+)
+
+// partSize is the size of one value of a step or a listing, in bytes. A value
+// may have 1 MB.
+const partSize = 700 << 10
+
+// Errors of keeping steps.
+var (
+	// ErrUnknownStep means that no such step was accepted.
+	ErrUnknownStep = errors.New("no such step")
+	// ErrUnsure means that whether the step exists can't be told now.
+	ErrUnsure = errors.New("can't be told now")
+	// ErrTooManyParts means that a step is too large to be accepted at once.
+	ErrTooManyParts = errors.New("step is too large")
+)
+
+// maxParts is how many values one transaction may write.
+const maxParts = 32
+
+// A part is one value of a step.
+type part struct {
+	Count int
+	Data  []byte
+}
+
+// A Keeper reads and writes what must last of steps.
+type Keeper struct{ Client *keyvalue.Client }
+
+// Accept keeps a step. It may be repeated with the same step; only the first
+// counts. ErrOutcomeUnknown means that the step may be kept, now or later.
+func (ke *Keeper) Accept(ctx context.Context, st *Step) error {
+	data, err := cbor.Marshal(st)
+	if err != nil {
+		return errors.Wrapf(err, "step %s", st.ID)
+	}
+	var tx keyvalue.Transaction
+	count := (len(data) + partSize - 1) / partSize
+	if count > maxParts {
+		return errors.Wrapf(ErrTooManyParts, "step %s: %d bytes", st.ID, len(data))
+	}
+	for i := range count {
+		value, err := cbor.Marshal(part{Count: count, Data: data[i*partSize : min((i+1)*partSize, len(data))]})
+		if err != nil {
+			return errors.Wrapf(err, "step %s", st.ID)
+		}
+		tx.Writes = append(tx.Writes, keyvalue.Write{Key: stepKey(st.ID, i), Value: value})
+	}
+	tx.Expects = []keyvalue.Expectation{{Key: stepKey(st.ID, 0)}}
+	_, err = ke.Client.Transact(ctx, tx)
+	if errors.Is(err, keyvalue.ErrConflict) {
+		return nil // kept before
+	}
+	return err
+}
+
+// End keeps that a step has ended. It may be repeated.
+func (ke *Keeper) End(ctx context.Context, id string) error {
+	_, err := ke.Client.Put(ctx, endPrefix+id, []byte("ended"), 0, 0)
+	if errors.Is(err, keyvalue.ErrConflict) {
+		return nil
+	}
+	return err
+}
+
+// Load returns a step, or ErrUnknownStep.
+func (ke *Keeper) Load(ctx context.Context, id string) (*Step, error) {
+	ch, err := ke.Client.Scan(ctx, stepPrefix+id+"/")
+	if err != nil {
+		return nil, err
+	}
+	var in intake
+	in.apply(ch.Items)
+	st, ok := in.steps[id]
+	if !ok {
+		return nil, errors.Wrapf(ErrUnknownStep, "step %s", id)
+	}
+	return st, nil
+}
+
+// Listed returns the chunks of a step's results in order.
+func (ke *Keeper) Listed(ctx context.Context, id string) ([][]Result, error) {
+	ch, err := ke.Client.Scan(ctx, listedPrefix+id+"/")
+	if err != nil {
+		return nil, err
+	}
+	var chunks [][]Result
+	for i, it := range ch.Items {
+		if it.Key != listedKey(id, i) {
+			return nil, errors.Newf("step %s: chunk %d is missing", id, i)
+		}
+		var res []Result
+		if err := cbor.Unmarshal(it.Value, &res); err != nil {
+			return nil, errors.Wrapf(err, "decode %s", it.Key)
+		}
+		chunks = append(chunks, res)
+	}
+	return chunks, nil
+}
+
+// Read returns a step's results from what is kept.
+func (ke *Keeper) Read(ctx context.Context, rq ReadRequest) (Listing, error) {
+	st, err := ke.Load(ctx, rq.ID)
+	if err != nil {
+		return Listing{}, err
+	}
+	chunks, err := ke.Listed(ctx, rq.ID)
+	if err != nil {
+		return Listing{}, err
+	}
+	var results []Result
+	for _, chunk := range chunks {
+		results = append(results, chunk...)
+	}
+	return page(results, rq.After, len(st.Items)), nil
+}
+
+// Drop removes all that is kept of a step.
+func (ke *Keeper) Drop(ctx context.Context, id string) error {
+	keys := []string{endPrefix + id}
+	for _, prefix := range []string{stepPrefix + id + "/", listedPrefix + id + "/"} {
+		ch, err := ke.Client.Scan(ctx, prefix)
+		if err != nil {
+			return err
+		}
+		for _, it := range ch.Items {
+			keys = append(keys, it.Key)
+		}
+	}
+	for len(keys) > 0 {
+		count := min(len(keys), maxParts)
+		if _, err := ke.Client.Transact(ctx, keyvalue.Transaction{Deletes: keys[:count]}); err != nil {
+			return err
+		}
+		keys = keys[count:]
+	}
+	return nil
+}
+
+// A Chunk is some results that are listed together.
+type Chunk struct {
+	Number  int
+	Results []Result
+	Step    string
+}
+
+// List adds chunks to their steps, if fence still holds. It may be repeated
+// with the same chunks; done tells that they are listed.
+func (ke *Keeper) List(ctx context.Context, fence keyvalue.Expectation, chunks []Chunk) (done bool, err error) {
+	tx := keyvalue.Transaction{Expects: []keyvalue.Expectation{fence}}
+	for _, ch := range chunks {
+		value, err := cbor.Marshal(ch.Results)
+		if err != nil {
+			return false, errors.Wrapf(err, "step %s", ch.Step)
+		}
+		key := listedKey(ch.Step, ch.Number)
+		tx.Expects = append(tx.Expects, keyvalue.Expectation{Key: key})
+		tx.Writes = append(tx.Writes, keyvalue.Write{Key: key, Value: value})
+	}
+	_, err = ke.Client.Transact(ctx, tx)
+	if !errors.Is(err, keyvalue.ErrConflict) {
+		return err == nil, err
+	}
+	// An earlier try of the same chunks may have been applied.
+	it, errGet := ke.Client.Get(ctx, tx.Writes[0].Key)
+	if errGet == nil && bytes.Equal(it.Value, tx.Writes[0].Value) {
+		return true, nil
+	}
+	if errGet != nil && !errors.Is(errGet, keyvalue.ErrNotFound) {
+		return false, errGet
+	}
+	return false, err
+}
+
+func stepKey(id string, number int) string {
+	return stepPrefix + id + "/" + strconv.Itoa(number)
+}
+
+func listedKey(id string, number int) string {
+	return fmt.Sprintf("%s%s/%06d", listedPrefix, id, number)
+}
+
+// An intake is what has been accepted and ended, as the changes of its keys
+// tell. The zero intake is empty and ready to use.
+type intake struct {
+	ended map[string]bool
+	parts map[string]map[int]part
+	steps map[string]*Step
+}
+
+// apply takes changes in and returns the steps that are new and those that
+// have ended.
+func (in *intake) apply(its []keyvalue.Item) (accepted []*Step, ended []string) {
+	if in.steps == nil {
+		in.ended, in.parts, in.steps = map[string]bool{}, map[string]map[int]part{}, map[string]*Step{}
+	}
+	for _, it := range its {
+		if it.Value == nil {
+			continue
+		}
+		if id, ok := strings.CutPrefix(it.Key, endPrefix); ok {
+			if !in.ended[id] {
+				in.ended[id] = true
+				ended = append(ended, id)
+			}
+			continue
+		}
+		if st := in.applyPart(it); st != nil {
+			accepted = append(accepted, st)
+		}
+	}
+	return accepted, ended
+}
+
+// applyPart takes one value of a step in and returns the step once it is whole.
+func (in *intake) applyPart(it keyvalue.Item) *Step {
+	id, text, ok := strings.Cut(strings.TrimPrefix(it.Key, stepPrefix), "/")
+	number, err := strconv.Atoi(text)
+	if !ok || err != nil || in.steps[id] != nil {
+		return nil
+	}
+	var pa part
+	if cbor.Unmarshal(it.Value, &pa) != nil {
+		return nil // no step of ours
+	}
+	if in.parts[id] == nil {
+		in.parts[id] = map[int]part{}
+	}
+	in.parts[id][number] = pa
+	if len(in.parts[id]) < pa.Count {
+		return nil
+	}
+	var data []byte
+	for i := range pa.Count {
+		data = append(data, in.parts[id][i].Data...)
+	}
+	delete(in.parts, id)
+	st := &Step{}
+	if cbor.Unmarshal(data, st) != nil {
+		return nil
+	}
+	in.steps[id] = st
+	return st
+}
+
+// age returns how long ago a step was accepted, by the wall clock.
+func (st *Step) age(now time.Time) time.Duration { return now.Round(0).Sub(st.Accepted.Round(0)) }
--- /dev/null
+++ b/step/listing.go
@@ -0,0 +1,125 @@
+package step
+
+import (
+	"time"
+)
+
+// Bounds of listing results.
+const (
+	// groupWait is how long a whole group waits for others, so that one write
+	// lists several. Trainers read about twice a second.
+	groupWait = 150 * time.Millisecond
+	// itemWait is how long a result of a group that isn't whole waits.
+	itemWait = 1200 * time.Millisecond
+	// maxChunks bounds the steps of one write: each takes an expectation and a
+	// value of a transaction, which has 32 at most.
+	maxChunks = 12
+)
+
+// Due returns the results that are to be listed now, a chunk for each step.
+func (ta *Table) Due(now time.Time) []Chunk {
+	var chunks []Chunk
+	for _, sr := range ta.order {
+		if len(chunks) < maxChunks && sr.due(now) {
+			chunks = append(chunks, sr.chunk())
+		}
+	}
+	return chunks
+}
+
+// due reports whether a step has results that have waited long enough.
+func (sr *stepRow) due(now time.Time) bool {
+	whole, left := 0, 0
+	for _, gr := range sr.groups {
+		if gr.left == 0 {
+			whole++
+		} else {
+			left++
+		}
+	}
+	for _, ir := range sr.items {
+		if ir.listed || ir.state != complete && ir.state != lost {
+			continue
+		}
+		gr := sr.groups[ir.item.Group]
+		switch {
+		case gr.left == 0 && whole >= sr.step.Groups:
+			return true // the trainer waits for no more than these
+		case gr.left == 0 && now.Sub(gr.doneAt) >= groupWait:
+			return true
+		case now.Sub(ir.doneAt) >= itemWait, left == 0:
+			return true
+		}
+	}
+	return false
+}
+
+// chunk returns a step's results that are not listed yet.
+func (sr *stepRow) chunk() Chunk {
+	ch := Chunk{Number: sr.chunks, Step: sr.step.ID}
+	size := 0
+	for _, ir := range sr.items {
+		if ir.listed || ir.state != complete && ir.state != lost {
+			continue
+		}
+		re := ir.result()
+		if size += len(re.Text); size > partSize && len(ch.Results) > 0 {
+			break
+		}
+		ch.Results = append(ch.Results, re)
+	}
+	return ch
+}
+
+// result returns what is listed of an item.
+func (ir *itemRow) result() Result {
+	re := Result{Item: ir.item.ID, Lost: ir.state == lost}
+	if re.Lost {
+		return re
+	}
+	for i, ev := range ir.events {
+		if i > 0 {
+			re.Text = append(re.Text, '\n')
+		}
+		re.Text = append(re.Text, ev.Data...)
+		if i == 0 || !contains(re.Versions, ev.Version) {
+			re.Versions = append(re.Versions, ev.Version)
+		}
+	}
+	return re
+}
+
+func contains(versions []uint64, version uint64) bool {
+	for _, ve := range versions {
+		if ve == version {
+			return true
+		}
+	}
+	return false
+}
+
+// Listed takes in that chunks are listed.
+func (ta *Table) Listed(chunks []Chunk) {
+	for _, ch := range chunks {
+		sr, ok := ta.steps[ch.Step]
+		if !ok {
+			continue
+		}
+		sr.results = append(sr.results, ch.Results...)
+		sr.chunks = ch.Number + 1
+		positions := map[string]bool{}
+		for _, re := range ch.Results {
+			positions[re.Item] = true
+		}
+		all := true
+		for _, ir := range sr.items {
+			ir.listed = ir.listed || positions[ir.item.ID]
+			all = all && ir.listed
+		}
+		sr.idle = sr.idle || all
+		sr.wake()
+		ta.log("results listed", map[string]any{
+			"chunk": ch.Number, "listed": len(sr.results), "step": ch.Step, "total": len(sr.step.Items),
+		})
+	}
+}
--- /dev/null
+++ b/step/place.go
@@ -0,0 +1,168 @@
+package step
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"wisteriacroft/runner"
+)
+
+// Weights of placing items.
+const (
+	// matePlaces is by how many more taken places an engine may still be
+	// preferred because it runs items of the same group, whose prompt it holds.
+	matePlaces = 3
+	// memoryPart is the part of an engine's memory that is filled with what is
+	// expected. Beyond it, engines stop the newest request and read it again.
+	memoryPart = 0.9
+	// expectedPart is the part of its token bound that an item without a hint
+	// is expected to use.
+	expectedPart = 0.25
+	// againAfter is how long an item waits before it goes to the engine that it
+	// was just taken from.
+	againAfter = 500 * time.Millisecond
+)
+
+// expected returns how many tokens an item is expected to generate.
+func (it *Item) expected() int {
+	if it.Hint > 0 {
+		return it.Hint
+	}
+	return int(expectedPart * float64(max(it.Tokens-it.Prompt, 0)))
+}
+
+// free returns how many places of an engine are free.
+func (en *engineRow) free() int { return en.slots - len(en.items) - en.foreign }
+
+// usable reports whether an engine may run an item.
+func (ta *Table) usable(en *engineRow, ir *itemRow) bool {
+	st := ir.step.step
+	if en.service != st.Service || en.leaving || en.sick || en.heardAt.IsZero() || en.report.Busy || en.order != nil {
+		return false
+	}
+	version := en.versions[st.Model]
+	if version == 0 || version < st.MinVersion {
+		return false
+	}
+	if st.SingleVersion && len(ir.events) > 0 {
+		return version == ir.events[0].Version
+	}
+	return true
+}
+
+// memoryFree returns how much of an engine's memory is expected to stay free.
+func (en *engineRow) memoryFree() int {
+	if en.tokens == 0 {
+		return int(^uint(0) >> 1)
+	}
+	used := 0
+	for _, ir := range en.items {
+		used += ir.item.Prompt + ir.item.expected()
+	}
+	return int(memoryPart*float64(en.tokens)) - max(used, en.report.Tokens)
+}
+
+// Place gives waiting items places at engines.
+//
+// Load pattern: a step's items all come at once and take all places for a
+// second or two, and its longest item takes as long as the step may. So steps
+// go in the order in which they are due, and within a step the items that are
+// expected to be longest go first; each goes to the engine with the most free
+// places. No more than its places are given to an engine, which would admit
+// the rest in the order of arrival.
+func (ta *Table) Place(now time.Time) {
+	for _, sr := range ta.order {
+		for _, ir := range sr.waiting() {
+			if en := ta.choose(ir, now); en != nil {
+				ta.start(ir, en, now)
+			}
+		}
+	}
+}
+
+// waiting returns a step's items that wait, longest first.
+func (sr *stepRow) waiting() []*itemRow {
+	var irs []*itemRow
+	for _, ir := range sr.items {
+		if ir.state == waiting {
+			irs = append(irs, ir)
+		}
+	}
+	slices.SortStableFunc(irs, func(a, b *itemRow) int {
+		return cmp.Compare(b.item.expected(), a.item.expected())
+	})
+	return irs
+}
+
+// choose returns the best engine for an item, or nil.
+func (ta *Table) choose(ir *itemRow, now time.Time) *engineRow {
+	var best *engineRow
+	bestScore := 0.0
+	for _, en := range ta.engines {
+		if en.free() <= 0 || !ta.usable(en, ir) || len(en.items) > 0 && en.memoryFree() < ir.item.Prompt+ir.item.expected() {
+			continue
+		}
+		if en.id == ir.unwanted && now.Sub(ir.since) < againAfter {
+			continue
+		}
+		score := ta.score(en, ir, now)
+		if best == nil || score > bestScore || score == bestScore && en.id < best.id {
+			best, bestScore = en, score
+		}
+	}
+	return best
+}
+
+// score returns how good an engine is for an item, in free places.
+func (ta *Table) score(en *engineRow, ir *itemRow, now time.Time) float64 {
+	score := float64(en.free())
+	for _, other := range en.items {
+		if other.step == ir.step && other.item.Group == ir.item.Group {
+			score += matePlaces
+			break
+		}
+	}
+	if now.Sub(en.failed) < failedFor {
+		score -= float64(en.slots)
+	}
+	if ta.slow(en) {
+		score -= float64(2 * en.slots)
+	}
+	return score
+}
+
+// start gives an item a place.
+func (ta *Table) start(ir *itemRow, en *engineRow, now time.Time) {
+	ta.attempt++
+	version := en.versions[ir.step.step.Model]
+	ir.state, ir.since, ir.unwanted = running, now, ""
+	ir.run = run{
+		engine: en.id, eventAt: now, prior: len(ir.events), version: version,
+		key: runner.Key{Attempt: ta.attempt, Item: ir.item.ID, Step: ir.step.step.ID},
+	}
+	en.items[ir.run.key] = ir
+	ta.log("item placed", map[string]any{
+		"after": len(ir.events), "attempt": ta.attempt, "engine": en.id, "free": en.free(), "item": ir.item.ID,
+		"report-ms": now.Sub(en.heardAt).Milliseconds(), "step": ir.step.step.ID, "version": version,
+	})
+}
+
+// GiveUp gives items up that may no longer be waited for.
+func (ta *Table) GiveUp(now time.Time) {
+	for _, sr := range ta.order {
+		if sr.step.MaxWait <= 0 || sr.step.age(now) < sr.step.MaxWait+giveUpSlack {
+			continue
+		}
+		for _, ir := range sr.items {
+			if ir.state == waiting || ir.state == running {
+				ta.release(ir)
+				ta.giveUp(ir, "waited too long", now)
+			}
+		}
+	}
+}
+
+// giveUpSlack is how much longer an item is waited for than it must be, for
+// clocks of instances that differ.
+const giveUpSlack = 3 * time.Second
--- /dev/null
+++ b/step/table.go
@@ -0,0 +1,266 @@
+package step
+
+import (
+	"bytes"
+	"slices"
+	"time"
+
+	"wisteriacroft/runner"
+)
+
+// An itemState is where an item stands.
+type itemState int
+
+// The states of items.
+const (
+	waiting itemState = iota // for a place at an engine
+	running                  // at the engine of its run
+	complete
+	lost // given up
+)
+
+// An itemRow is an item of an open step.
+type itemRow struct {
+	item     *Item
+	step     *stepRow
+	state    itemState
+	doneAt   time.Time
+	events   []runner.Event
+	failures int // answers of engines that failed
+	listed   bool
+	moves    int
+	since    time.Time // waiting or running since then
+	run      run       // if running
+	unwanted string    // engine that the item was moved away from
+}
+
+// A run is the run of an item at an engine.
+type run struct {
+	confirmed bool // the attendant has it
+	engine    string
+	eventAt   time.Time // of the newest event, or of the launch
+	key       runner.Key
+	prior     int // events that it was launched with
+	stopping  bool
+	version   uint64
+}
+
+// A groupRow counts the items of a group that are not complete.
+type groupRow struct {
+	doneAt time.Time
+	left   int
+}
+
+// A stepRow is a step that the scheduler holds.
+type stepRow struct {
+	step    *Step
+	ended   bool
+	groups  map[string]*groupRow
+	items   []*itemRow
+	chunks  int // that are listed
+	results []Result
+	changed chan struct{} // closed when results are listed
+	idle    bool          // all items are listed, or it has ended
+	loaded  bool          // results that were listed before this term are in
+}
+
+// An engineRow is an engine and the attendant beside it.
+type engineRow struct {
+	id       string
+	address  string // of the attendant
+	boot     string
+	domain   string
+	forget   map[runner.Key]bool
+	foreign  int // requests of others that it runs
+	items    map[runner.Key]*itemRow
+	leaving  bool
+	order    *runner.Order // wanted, until it holds
+	orderAt  time.Time
+	ordered  bool // the attendant has the order
+	pace     pace
+	failed   time.Time // of the last run that it didn't finish
+	heardAt  time.Time // the attendant answered
+	joinedAt time.Time
+	report   runner.Report
+	sick     bool // its engine doesn't answer its attendant
+	service  string
+	slots    int
+	tokens   int // memory
+	versions map[string]uint64
+}
+
+// A Table holds the steps that are open and the engines that run them. Its
+// systems decide; what they decide is read off the rows. NewTable makes one.
+type Table struct {
+	attempt uint64 // of the newest run
+	engines map[string]*engineRow
+	epoch   uint64
+	// reuse keeps the text of items of ended steps, since their groups may
+	// come again in a later step.
+	reuse map[string]*itemRow
+	steps map[string]*stepRow
+	order []*stepRow        // open steps by acceptance
+	named map[string]uint64 // newest version of each model
+	log   func(event string, fields map[string]any)
+	loads map[string]float64 // pace of the median engine, by service
+}
+
+// attemptBits is the part of an attempt's number that counts within an epoch.
+const attemptBits = 32
+
+// NewTable returns the empty table of an epoch. Log gets a line for each
+// decision; nil logs nothing.
+func NewTable(epoch uint64, log func(event string, fields map[string]any)) *Table {
+	if log == nil {
+		log = func(string, map[string]any) {}
+	}
+	return &Table{
+		attempt: epoch << attemptBits, engines: map[string]*engineRow{}, epoch: epoch, log: log,
+		loads: map[string]float64{}, named: map[string]uint64{}, reuse: map[string]*itemRow{},
+		steps: map[string]*stepRow{},
+	}
+}
+
+// Accept adds a step with what is listed of it.
+func (ta *Table) Accept(st *Step, listed [][]Result, ended bool, now time.Time) {
+	if _, ok := ta.steps[st.ID]; ok {
+		return
+	}
+	sr := &stepRow{step: st, ended: ended, groups: map[string]*groupRow{}, changed: make(chan struct{}), idle: ended}
+	ta.steps[st.ID] = sr
+	positions := map[string]bool{}
+	for _, chunk := range listed {
+		sr.results = append(sr.results, chunk...)
+		for _, re := range chunk {
+			positions[re.Item] = true
+		}
+	}
+	sr.chunks = len(listed)
+	if ended {
+		return
+	}
+	for i := range st.Items {
+		it := &st.Items[i]
+		ir := &itemRow{item: it, since: now, step: sr}
+		sr.items = append(sr.items, ir)
+		gr := sr.groups[it.Group]
+		if gr == nil {
+			gr = &groupRow{}
+			sr.groups[it.Group] = gr
+		}
+		gr.left++
+		if positions[it.ID] {
+			ir.listed = true
+			ta.settle(ir, complete, now)
+			continue
+		}
+		ta.takeOver(ir, now)
+	}
+	ta.order = append(ta.order, sr)
+	slices.SortStableFunc(ta.order, func(a, b *stepRow) int { return a.step.Accepted.Compare(b.step.Accepted) })
+	ta.log("step accepted", map[string]any{
+		"groups": len(sr.groups), "items": len(st.Items), "listed": len(sr.results), "min-version": st.MinVersion,
+		"number": st.Number, "step": st.ID, "target": st.Groups,
+	})
+}
+
+// takeOver starts an item with the text that an earlier step made of it, if
+// this step may have it.
+func (ta *Table) takeOver(ir *itemRow, now time.Time) {
+	old, ok := ta.reuse[ir.item.ID]
+	if !ok || !bytes.Equal(old.item.Body, ir.item.Body) || !ir.step.step.fits(old.events) {
+		return
+	}
+	ir.events = old.events
+	if old.state == complete {
+		ta.settle(ir, complete, now)
+	}
+}
+
+// fits reports whether a step may have a text.
+func (st *Step) fits(evs []runner.Event) bool {
+	for i, ev := range evs {
+		if ev.Version < st.MinVersion || ev.Version == 0 || st.SingleVersion && ev.Version != evs[max(i-1, 0)].Version {
+			return false
+		}
+	}
+	return true
+}
+
+// settle ends an item's way.
+func (ta *Table) settle(ir *itemRow, state itemState, now time.Time) {
+	ir.state, ir.doneAt = state, now
+	gr := ir.step.groups[ir.item.Group]
+	gr.left--
+	if gr.left == 0 {
+		gr.doneAt = now
+	}
+}
+
+// End ends a step: its items stop, and nothing more is listed.
+func (ta *Table) End(id string) {
+	sr, ok := ta.steps[id]
+	if !ok || sr.ended {
+		return
+	}
+	sr.ended, sr.idle = true, true
+	ta.log("step ended", map[string]any{"listed": len(sr.results), "step": id, "total": len(sr.step.Items)})
+	for _, ir := range sr.items {
+		ta.release(ir)
+		if len(ir.events) > 0 && ir.state != lost {
+			ta.reuse[ir.item.ID] = ir
+		}
+	}
+	sr.wake()
+	sr.items, sr.groups = nil, nil
+	ta.order = slices.DeleteFunc(ta.order, func(other *stepRow) bool { return other == sr })
+}
+
+// wake tells whoever waits for results.
+func (sr *stepRow) wake() {
+	close(sr.changed)
+	sr.changed = make(chan struct{})
+}
+
+// release takes an item off its engine, whose attendant forgets the run.
+func (ta *Table) release(ir *itemRow) {
+	if ir.run.engine == "" {
+		return
+	}
+	if en, ok := ta.engines[ir.run.engine]; ok {
+		delete(en.items, ir.run.key)
+		en.forget[ir.run.key] = true
+	}
+	ir.run = run{}
+}
+
+// requeue lets an item wait for a place again.
+func (ta *Table) requeue(ir *itemRow, why string, now time.Time) {
+	ta.log("run given up", map[string]any{
+		"attempt": ir.run.key.Attempt, "engine": ir.run.engine, "events": len(ir.events), "item": ir.item.ID,
+		"step": ir.step.step.ID, "why": why,
+	})
+	ir.unwanted = ir.run.engine
+	ta.release(ir)
+	ir.state, ir.since = waiting, now
+}
+
+// Forget drops steps that no one reads any longer, and returns their IDs.
+func (ta *Table) Forget(keep time.Duration, now time.Time) []string {
+	var ids []string
+	for id, sr := range ta.steps {
+		if sr.ended && sr.step.age(now) > keep {
+			delete(ta.steps, id)
+			ids = append(ids, id)
+		}
+	}
+	for id, ir := range ta.reuse {
+		if ir.step.step.age(now) > keep {
+			delete(ta.reuse, id)
+		}
+	}
+	return ids
+}
+
+// Open reports whether any step has items to run or list.
+func (ta *Table) Open() bool { return len(ta.order) > 0 }
