--- a/runner/orders.go
+++ b/runner/orders.go
@@ -20,13 +20,14 @@
 // An orders is the order that the scheduler wants carried out, and where it
 // stands. The zero orders wants none.
 type orders struct {
+	done    Order // that ended last; the scheduler may still ask for it
 	order   Order
 	givenAt time.Time // zero until the engine has taken it
 }
 
 // want replaces the order, unless it is wanted already.
 func (os *orders) want(or Order) {
-	if os.order == or {
+	if os.order == or || os.done == or && or.Version > 0 {
 		return
 	}
 	os.order, os.givenAt = or, time.Time{}
@@ -82,6 +83,7 @@
 	if rn.orders.order != or {
 		return
 	}
+	rn.orders.done = or
 	rn.orders.want(Order{})
 	rn.Log.WithFields(logrus.Fields{"endpoint": or.Endpoint, "model": or.Model, "version": or.Version}).Info(message)
 }
--- a/step/engines.go
+++ b/step/engines.go
@@ -134,8 +134,18 @@
 		ta.progress(en, pr, now)
 	}
 	en.foreign = max(0, re.Report.Active+re.Report.Queued-alive)
-	en.ordered = en.order != nil && re.Ordered == en.order.Version
-	if en.order != nil && re.Ordered == 0 && en.versions[en.order.Model] >= en.order.Version && !re.Report.Busy {
+	ta.heardOrder(en, rq, re)
+}
+
+// heardOrder ends an order that the engine holds, or that its attendant has
+// given up.
+func (ta *Table) heardOrder(en *engineRow, rq runner.ExchangeRequest, re runner.ExchangeResponse) {
+	if en.order == nil {
+		return
+	}
+	en.ordered = en.ordered || rq.Order == en.order
+	holds := en.versions[en.order.Model] >= en.order.Version && !re.Report.Busy
+	if holds || en.ordered && re.Ordered == 0 {
 		en.order = nil
 	}
 }
