step: least slack first, long items on fast engines, runs of replaced engines kept apart

A run names its engine; one that another answers for is gone. - Items went by step, so the long ones of a second step waited for the short ones of the first for 2.5 s. They go by least slack now. - A third of the engines is 1.3 times slower; 7 s items there were 2 s late. They go to fast engines, and are moved there once they have proved long. - Loads waited while items waited, so that engines too old for a new step idled. Ruled out: loads slowing what runs (192 events took 7.50 s beside one, 7.49 s elsewhere).

--- a/runner/engine.go
+++ b/runner/engine.go
@@ -12,6 +12,7 @@
 // A Start is what an engine answers to a run.
 type Start struct {
 	Detail string
+	Engine string // the engine that answered, if it isn't the one that was asked
 	State  State  // Running, or why there is no stream
 	Stream Stream // if State is Running
 }
--- a/runner/message.go
+++ b/runner/message.go
@@ -84,17 +84,20 @@
 
 // A Progress is a run and those of its events that the scheduler lacks.
 type Progress struct {
-	Detail string // why it ended, for logs
-	Events []Event
-	First  int // position of the first of Events in the run's text
-	Key    Key
-	State  State
+	Detail   string // why it ended, for logs
+	Endpoint string // engine that the run was for
+	Events   []Event
+	First    int // position of the first of Events in the run's text
+	Key      Key
+	State    State
 }
 
 // A Report is what an engine says of itself.
 type Report struct {
 	Active   int
-	Busy     bool // an order is under way
+	Busy     bool          // an order is under way
+	Pace     time.Duration // median time between two events of a run of late
+	PaceGaps int           // that the median is of
 	Queued   int
 	Sequence uint64 // orders that it has taken
 	Tokens   int    // memory that can't be freed, in tokens
@@ -104,6 +107,7 @@
 // An ExchangeResponse is what an attendant holds.
 type ExchangeResponse struct {
 	Boot      string // changes with each start of the attendant
+	Engine    string // the engine that answers at the address now, if known
 	Ordered   uint64 // version of the order under way, or 0
 	Reachable bool   // the engine answers its report
 	Report    Report
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -25,12 +25,14 @@
 	givenAt time.Time // zero until the engine has taken it
 }
 
-// want replaces the order, unless it is wanted already.
-func (os *orders) want(or Order) {
+// want replaces the order, unless it is wanted already or has ended. It returns
+// whether it did.
+func (os *orders) want(or Order) bool {
 	if os.order == or || os.done == or && or.Version > 0 {
-		return
+		return false
 	}
 	os.order, os.givenAt = or, time.Time{}
+	return true
 }
 
 // underWay returns the version that is wanted, or 0.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -37,14 +37,15 @@
 
 // A run is one run of an item.
 type run struct {
-	cancel  context.CancelFunc
-	detail  string
-	ended   time.Time
-	events  []Event
-	key     Key
-	seen    int
-	state   State
-	stopped bool
+	cancel   context.CancelFunc
+	detail   string
+	ended    time.Time
+	endpoint string
+	events   []Event
+	key      Key
+	seen     int
+	state    State
+	stopped  bool
 }
 
 // A Runner runs items at one engine. Fill the exported fields, then call Run.
@@ -54,10 +55,13 @@
 	Metrics *metrics.Set
 
 	boot     string
+	engine   string // that answered for another one
+	kick     chan struct{}
 	epoch    uint64
 	lastCall time.Time
 	mu       sync.Mutex
 	orders   orders
+	pacer    pacer
 	report   Report
 	reportAt time.Time
 	root     context.Context
@@ -83,14 +87,27 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-rn.kick:
 		case <-ti.C:
 		}
 	}
 }
 
+// want replaces the order, and has it given at once if it is a new one.
+func (rn *Runner) want(or Order) {
+	if !rn.orders.want(or) {
+		return
+	}
+	select {
+	case rn.kick <- struct{}{}:
+	default:
+	}
+}
+
 func (rn *Runner) init() {
 	if rn.runs == nil {
 		rn.boot = uuid.NewString()
+		rn.kick = make(chan struct{}, 1)
 		rn.root = context.Background()
 		rn.runs = map[Key]*run{}
 	}
@@ -152,7 +169,7 @@
 		rn.launch(la)
 	}
 	if rq.Order != nil {
-		rn.orders.want(*rq.Order)
+		rn.want(*rq.Order)
 	}
 	return nil
 }
@@ -183,7 +200,7 @@
 	}
 	rn.dropOldest()
 	ctx, cancel := context.WithCancel(rn.root)
-	ru := &run{cancel: cancel, events: slices.Clone(la.Prior), key: la.Key, seen: len(la.Prior)}
+	ru := &run{cancel: cancel, endpoint: la.Endpoint, events: slices.Clone(la.Prior), key: la.Key, seen: len(la.Prior)}
 	rn.runs[la.Key] = ru
 	go rn.execute(ctx, ru, la)
 }
@@ -215,6 +232,9 @@
 	}
 	rn.mu.Lock()
 	defer rn.mu.Unlock()
+	if st.Engine != "" {
+		rn.engine = st.Engine
+	}
 	if ru.stopped && st.State != Complete {
 		st.State = Stopped
 	}
@@ -229,12 +249,18 @@
 
 // read takes a run's events until its end.
 func (rn *Runner) read(ru *run, st Stream) (State, string) {
+	var before time.Time
 	for {
 		ev, err := st.NextFunc()
 		if err != nil {
 			return ending(err)
 		}
+		now := time.Now()
 		rn.mu.Lock()
+		if !before.IsZero() {
+			rn.pacer.observe(now.Sub(before), now)
+		}
+		before = now
 		last := int64(0)
 		if len(ru.events) > 0 {
 			last = ru.events[len(ru.events)-1].ID
@@ -252,15 +278,16 @@
 
 func (rn *Runner) response() ExchangeResponse {
 	re := ExchangeResponse{
-		Boot: rn.boot, Ordered: rn.orders.underWay(), Reachable: rn.reachable(), Report: rn.report,
+		Boot: rn.boot, Engine: rn.engine, Ordered: rn.orders.underWay(), Reachable: rn.reachable(), Report: rn.report,
 		ReportAge: time.Since(rn.reportAt),
 	}
+	re.Report.Pace, re.Report.PaceGaps = rn.pacer.median(time.Now())
 	size := 0
 	for _, ru := range rn.runs {
 		if size > maxResponse {
 			break
 		}
-		pr := Progress{Detail: ru.detail, Events: ru.events[ru.seen:], First: ru.seen, Key: ru.key, State: ru.state}
+		pr := Progress{Detail: ru.detail, Endpoint: ru.endpoint, Events: ru.events[ru.seen:], First: ru.seen, Key: ru.key, State: ru.state}
 		for _, ev := range pr.Events {
 			size += len(ev.Data)
 		}
--- a/step/engines.go
+++ b/step/engines.go
@@ -131,12 +131,45 @@
 		if pr.State == runner.Running {
 			alive++
 		}
-		ta.progress(en, pr, now)
+		if ta.concerns(en, pr) {
+			ta.progress(en, pr, now)
+		}
 	}
+	ta.replace(en, re.Engine, now)
 	en.foreign = max(0, re.Report.Active+re.Report.Queued-alive)
 	ta.heardOrder(en, rq, re)
 }
 
+// concerns reports whether a run belongs to an engine.
+//
+// An engine that starts again has another ID at the same address, and for a
+// while both are known. Each is asked for its runs at the same attendant, and
+// would have those of the other forgotten: they would end there, and here wait
+// for an end that never comes.
+func (ta *Table) concerns(en *engineRow, pr runner.Progress) bool {
+	if pr.Endpoint == en.id {
+		return true
+	}
+	if ta.engines[pr.Endpoint] == nil {
+		en.forget[pr.Key] = true
+	}
+	return false
+}
+
+// replace takes in that another engine answers at an engine's address: this one
+// is gone for good, though its entry may stay for some seconds.
+func (ta *Table) replace(en *engineRow, actual string, now time.Time) {
+	if actual == "" || actual == en.id || en.gone {
+		return
+	}
+	if other, ok := ta.engines[actual]; ok && other.joinedAt.Before(en.joinedAt) {
+		return // it was the one before this
+	}
+	en.gone = true
+	ta.log("engine was replaced", map[string]any{"by": actual, "engine": en.id, "items": len(en.items)})
+	ta.drop(en, "engine was replaced", now)
+}
+
 // heardOrder ends an order that the engine holds, or that its attendant has
 // given up.
 func (ta *Table) heardOrder(en *engineRow, rq runner.ExchangeRequest, re runner.ExchangeResponse) {
@@ -161,7 +194,7 @@
 		ir = en.items[pr.Key]
 	}
 	ir.run.confirmed = true
-	if !ta.append(en, ir, pr, now) {
+	if !ta.append(ir, pr, now) {
 		return
 	}
 	switch pr.State {
@@ -216,7 +249,7 @@
 
 // append adds a run's events to its item's text. It returns false if the text
 // can't be used, and the item has to start again.
-func (ta *Table) append(en *engineRow, ir *itemRow, pr runner.Progress, now time.Time) bool {
+func (ta *Table) append(ir *itemRow, pr runner.Progress, now time.Time) bool {
 	if pr.First > len(ir.events) {
 		return true // an answer that was overtaken; the next has all
 	}
@@ -224,9 +257,6 @@
 	if len(fresh) == 0 {
 		return true
 	}
-	if !ir.run.stopping {
-		en.pace.observe(len(fresh), now.Sub(ir.run.eventAt))
-	}
 	ir.run.eventAt = now
 	ir.events = append(ir.events[:len(ir.events):len(ir.events)], fresh...)
 	if ir.step.step.fits(ir.events) {
--- a/step/pace.go
+++ b/step/pace.go
@@ -7,63 +7,81 @@
 
 // Weights of telling slow engines.
 const (
-	// paceWeight is the part of a new observation in an engine's pace.
-	paceWeight = 0.3
-	// paceSamples is how many observations it takes to judge an engine.
-	paceSamples = 3
+	// paceGaps is how many gaps between events it takes to judge an engine:
+	// two events of four runs, or eight of one, a third of a second.
+	paceGaps = 8
 	// slowFactor is by how much an engine's pace may exceed the median before
 	// its runs are moved. Full engines are some 4% slower than empty ones.
-	slowFactor = 1.7
+	slowFactor = 1.6
+	// slowSince is for how long an engine must be slower before its runs are
+	// moved. While it reads the prompts of a dozen new runs, it makes events
+	// at two thirds of its pace for some 200 ms.
+	slowSince = 400 * time.Millisecond
+	// slowFor is for how long an engine that was slow gets work only if no
+	// other can: without runs it shows no pace.
+	slowFor = 3 * time.Second
 	// stallTime is how long a run may be without an event. Events come each
 	// 40 ms, and a load of weights takes about a second.
 	stallTime = 1500 * time.Millisecond
 	// firstEventTime is how long a run may wait for its first event.
 	firstEventTime = 2 * time.Second
+	// minMoveEvents is how many events a run has made before it is moved to a
+	// faster engine: three quarters of all items end before, and what has made
+	// so many is expected to make as many again.
+	minMoveEvents = 30
+	// sparePlaces is how many places a faster engine keeps free for new items.
+	sparePlaces = 1
 	// maxMoves bounds how often an item is moved: a moved run reads its whole
 	// text again.
 	maxMoves = 4
 )
 
-// A pace is an engine's mean time for an event, in seconds. The zero pace knows
-// nothing.
-type pace struct {
-	samples int
-	mean    float64
-}
-
-// observe counts events that came within a time.
-func (pa *pace) observe(count int, took time.Duration) {
-	each := took.Seconds() / float64(count)
-	if pa.samples == 0 {
-		pa.mean = each
-	} else {
-		pa.mean += paceWeight * (each - pa.mean)
+// Paces finds the pace of the median engine of each service, and the engines
+// that are much slower.
+func (ta *Table) Paces(now time.Time) {
+	byService := map[string][]time.Duration{}
+	for _, en := range ta.engines {
+		if en.report.PaceGaps >= paceGaps {
+			byService[en.service] = append(byService[en.service], en.report.Pace)
+		}
+	}
+	for service, paces := range byService {
+		slices.Sort(paces)
+		ta.paces[service] = paces[len(paces)/2]
+	}
+	for _, en := range ta.engines {
+		ta.judgePace(en, now)
 	}
-	pa.samples++
 }
 
-// known returns the pace if enough was observed.
-func (pa *pace) known() (float64, bool) { return pa.mean, pa.samples >= paceSamples }
-
-// Paces finds the pace of the median engine of each service.
-func (ta *Table) Paces(time.Time) {
-	byService := map[string][]float64{}
-	for _, en := range ta.engines {
-		if mean, ok := en.pace.known(); ok {
-			byService[en.service] = append(byService[en.service], mean)
-		}
+// judgePace tells whether an engine is much slower than the median.
+func (ta *Table) judgePace(en *engineRow, now time.Time) {
+	if en.report.PaceGaps >= paceGaps {
+		en.pace = en.report.Pace
+	}
+	median := ta.paces[en.service]
+	if median == 0 || en.report.PaceGaps < paceGaps || float64(en.report.Pace) <= slowFactor*float64(median) {
+		en.slowerAt = time.Time{}
+		return
+	}
+	if en.slowerAt.IsZero() {
+		en.slowerAt = now
+	}
+	if now.Sub(en.slowerAt) < slowSince {
+		return
 	}
-	for service, means := range byService {
-		slices.Sort(means)
-		ta.loads[service] = means[len(means)/2]
+	if !en.slow(now) {
+		ta.log("engine is slow", map[string]any{
+			"engine": en.id, "gaps": en.report.PaceGaps, "median-ms": median.Milliseconds(),
+			"pace-ms": en.report.Pace.Milliseconds(), "report-ms": now.Sub(en.heardAt).Milliseconds(),
+		})
 	}
+	en.slowAt = now
 }
 
-// slow reports whether an engine is much slower than the others.
-func (ta *Table) slow(en *engineRow) bool {
-	mean, ok := en.pace.known()
-	median := ta.loads[en.service]
-	return ok && median > 0 && mean > slowFactor*median
+// slow reports whether an engine was much slower than the others of late.
+func (en *engineRow) slow(now time.Time) bool {
+	return !en.slowAt.IsZero() && now.Sub(en.slowAt) < slowFor
 }
 
 // Move takes runs off engines that are slow or stalled, if another engine has
@@ -76,39 +94,73 @@
 // no two engines work on it.
 func (ta *Table) Move(now time.Time) {
 	for _, en := range ta.engines {
-		slow := ta.slow(en)
 		for _, ir := range en.items {
 			if ir.run.stopping || !ir.run.confirmed || ir.moves >= maxMoves {
 				continue
 			}
-			why := ""
-			switch quiet := now.Sub(ir.run.eventAt); {
-			case en.sick && quiet > stallTime/2:
-				why = "engine does not answer"
-			case quiet > firstEventTime, quiet > stallTime && len(ir.events) > ir.run.prior:
-				why = "no event"
-			case slow:
-				why = "slow engine"
+			why := en.reasonToMove(ir, now)
+			if why == "" && ta.betterElsewhere(ir, en, now) {
+				why = "faster engine"
 			}
-			if why == "" || !ta.roomElsewhere(ir, en) {
+			if why == "" || !ta.roomElsewhere(ir, en, now) {
 				continue
 			}
 			ir.moves++
 			ir.run.stopping = true
 			ta.log("run moved", map[string]any{
 				"attempt": ir.run.key.Attempt, "engine": en.id, "events": len(ir.events), "item": ir.item.ID,
-				"pace": en.pace.mean, "median": ta.loads[en.service], "step": ir.step.step.ID, "why": why,
+				"pace-ms": en.report.Pace.Milliseconds(), "quiet-ms": now.Sub(ir.run.eventAt).Milliseconds(),
+				"step": ir.step.step.ID, "why": why,
 			})
 		}
 	}
 }
 
-// roomElsewhere reports whether another engine could take an item.
-func (ta *Table) roomElsewhere(ir *itemRow, from *engineRow) bool {
+// reasonToMove returns why a run would do better elsewhere, or "".
+func (en *engineRow) reasonToMove(ir *itemRow, now time.Time) string {
+	quiet := now.Sub(ir.run.eventAt)
+	switch {
+	case en.sick && quiet > stallTime/2:
+		return "engine does not answer"
+	case quiet > firstEventTime, quiet > stallTime && len(ir.events) > ir.run.prior:
+		return "no event"
+	case en.slow(now):
+		return "slow engine"
+	default:
+		return ""
+	}
+}
+
+// betterElsewhere reports whether a long run would end much sooner at a faster
+// engine that has places. A move costs some 50 ms.
+func (ta *Table) betterElsewhere(ir *itemRow, from *engineRow, now time.Time) bool {
+	if from.pace == 0 || len(ir.events)-ir.run.prior < minMoveEvents {
+		return false
+	}
 	for _, en := range ta.engines {
-		if en != from && !ta.slow(en) && ta.usable(en, ir) && en.free() > 0 {
+		if en == from || en.slow(now) || en.pace == 0 || !ta.usable(en, ir) || en.free() <= sparePlaces {
+			continue
+		}
+		if float64(en.pace) < (1-paceTolerance)*float64(from.pace) {
 			return true
 		}
 	}
 	return false
 }
+
+// roomElsewhere reports whether another engine could take an item, besides
+// those that are moved to it already.
+func (ta *Table) roomElsewhere(ir *itemRow, from *engineRow, now time.Time) bool {
+	room := 0
+	for _, en := range ta.engines {
+		if en != from && !en.slow(now) && ta.usable(en, ir) {
+			room += max(en.free(), 0)
+		}
+		for _, other := range en.items {
+			if other.run.stopping {
+				room--
+			}
+		}
+	}
+	return room > 0
+}
--- a/step/place.go
+++ b/step/place.go
@@ -38,7 +38,7 @@
 // usable reports whether an engine may run an item.
 func (ta *Table) usable(en *engineRow, ir *itemRow) bool {
 	st := ir.step.step
-	if en.service != st.Service || en.leaving || en.sick || en.heardAt.IsZero() || en.report.Busy || en.order != nil {
+	if en.service != st.Service || en.leaving || en.gone || en.sick || en.heardAt.IsZero() || en.report.Busy || en.order != nil {
 		return false
 	}
 	version := en.versions[st.Model]
@@ -66,35 +66,58 @@
 // Place gives waiting items places at engines.
 //
 // Load pattern: a step's items all come at once and take all places for a
-// second or two, and its longest item takes as long as the step may. So steps
-// go in the order in which they are due, and within a step the items that are
-// expected to be longest go first; each goes to the engine with the most free
-// places. No more than its places are given to an engine, which would admit
+// second or two, a second step may come with them, and the longest item takes
+// nearly as long as the step may. So the item goes first that has the least
+// time to spare: what is left until its step is due, less what it is expected
+// to take. No more than its places are given to an engine, which would admit
 // the rest in the order of arrival.
 func (ta *Table) Place(now time.Time) {
-	for _, sr := range ta.order {
-		for _, ir := range sr.waiting() {
-			if en := ta.choose(ir, now); en != nil {
-				ta.start(ir, en, now)
-			}
+	for _, ir := range ta.waiting(now) {
+		if en := ta.choose(ir, now); en != nil {
+			ta.start(ir, en, now)
 		}
 	}
 }
 
-// waiting returns a step's items that wait, longest first.
-func (sr *stepRow) waiting() []*itemRow {
+// waiting returns the items that wait, the one with the least time to spare
+// first.
+func (ta *Table) waiting(now time.Time) []*itemRow {
 	var irs []*itemRow
-	for _, ir := range sr.items {
-		if ir.state == waiting {
-			irs = append(irs, ir)
+	for _, sr := range ta.order {
+		for _, ir := range sr.items {
+			if ir.state == waiting {
+				ir.spare = sr.step.Due - sr.step.age(now) - ir.expectedTime()
+				irs = append(irs, ir)
+			}
 		}
 	}
-	slices.SortStableFunc(irs, func(a, b *itemRow) int {
-		return cmp.Compare(b.item.expected(), a.item.expected())
-	})
+	slices.SortStableFunc(irs, func(a, b *itemRow) int { return cmp.Compare(a.spare, b.spare) })
 	return irs
 }
 
+// tokenTime is what a token takes at an engine with full places.
+const tokenTime = 630 * time.Microsecond
+
+// expectedTime returns how long the rest of an item is expected to take.
+func (ir *itemRow) expectedTime() time.Duration {
+	return time.Duration(ir.left()) * tokenTime
+}
+
+// left returns how many tokens an item is expected to need still. Hints are
+// right at the median and often far off: an item that has passed its hint is
+// one of those that last, and is expected to need as much again.
+func (ir *itemRow) left() int {
+	made := len(ir.events) * eventTokens
+	expected := ir.item.expected()
+	if made >= expected {
+		return made
+	}
+	return expected - made
+}
+
+// eventTokens is about how many tokens an event holds.
+const eventTokens = 62
+
 // choose returns the best engine for an item, or nil.
 func (ta *Table) choose(ir *itemRow, now time.Time) *engineRow {
 	var best *engineRow
@@ -126,10 +149,48 @@
 	if now.Sub(en.failed) < failedFor {
 		score -= float64(en.slots)
 	}
-	if ta.slow(en) {
+	if en.slow(now) {
 		score -= float64(2 * en.slots)
 	}
-	return score
+	return score - ta.paceCost(en, ir)
+}
+
+// paceCost is what an engine's pace costs an item, in places.
+//
+// Some engines are slower than others all day, by 30% at one of the two
+// deployments measured. An item of 7 s on one of them is 2 s late, while one of
+// a second doesn't mind.
+func (ta *Table) paceCost(en *engineRow, ir *itemRow) float64 {
+	best := ta.bestPace(en.service)
+	if best == 0 || en.pace == 0 {
+		return 0
+	}
+	behind := float64(en.pace)/float64(best) - 1
+	if behind < paceTolerance {
+		return 0
+	}
+	return behind * ir.expectedTime().Seconds() * placesPerSecond
+}
+
+const (
+	// paceTolerance is by how much an engine may be slower than the best one
+	// before it counts: full ones are some 4% slower than empty ones.
+	paceTolerance = 0.1
+	// placesPerSecond is how many free places a second of lateness is worth: an
+	// item that would be late by one goes to a fast engine that is full but for
+	// one place.
+	placesPerSecond = 12
+)
+
+// bestPace returns the pace of the fastest engine of a service, or 0.
+func (ta *Table) bestPace(service string) time.Duration {
+	best := time.Duration(0)
+	for _, en := range ta.engines {
+		if en.service == service && en.pace > 0 && (best == 0 || en.pace < best) {
+			best = en.pace
+		}
+	}
+	return best
 }
 
 // start gives an item a place.
--- a/step/table.go
+++ b/step/table.go
@@ -29,9 +29,10 @@
 	failures int // answers of engines that failed
 	listed   bool
 	moves    int
-	since    time.Time // waiting or running since then
-	run      run       // if running
-	unwanted string    // engine that the item was moved away from
+	spare    time.Duration // time that it can wait, as of the last placing
+	since    time.Time     // waiting or running since then
+	run      run           // if running
+	unwanted string        // engine that the item was moved away from
 }
 
 // A run is the run of an item at an engine.
@@ -71,18 +72,21 @@
 	boot     string
 	domain   string
 	forget   map[runner.Key]bool
-	foreign  int // requests of others that it runs
+	foreign  int  // requests of others that it runs
+	gone     bool // another answers at its address
 	items    map[runner.Key]*itemRow
 	leaving  bool
 	order    *runner.Order // wanted, until it holds
 	orderAt  time.Time
-	ordered  bool // the attendant has the order
-	pace     pace
+	ordered  bool      // the attendant has the order
 	failed   time.Time // of the last run that it didn't finish
 	heardAt  time.Time // the attendant answered
 	joinedAt time.Time
+	pace     time.Duration // of an event, as last seen; 0 means unknown
 	report   runner.Report
-	sick     bool // its engine doesn't answer its attendant
+	slowAt   time.Time // it was much slower than the others
+	slowerAt time.Time // it has been slower since then without a break
+	sick     bool      // its engine doesn't answer its attendant
 	service  string
 	slots    int
 	tokens   int // memory
@@ -102,7 +106,7 @@
 	order []*stepRow        // open steps by acceptance
 	named map[string]uint64 // newest version of each model
 	log   func(event string, fields map[string]any)
-	loads map[string]float64 // pace of the median engine, by service
+	paces map[string]time.Duration // of the median engine, by service
 }
 
 // attemptBits is the part of an attempt's number that counts within an epoch.
@@ -116,7 +120,7 @@
 	}
 	return &Table{
 		attempt: epoch << attemptBits, engines: map[string]*engineRow{}, epoch: epoch, log: log,
-		loads: map[string]float64{}, named: map[string]uint64{}, reuse: map[string]*itemRow{},
+		paces: map[string]time.Duration{}, named: map[string]uint64{}, reuse: map[string]*itemRow{},
 		steps: map[string]*stepRow{},
 	}
 }
--- a/step/weights.go
+++ b/step/weights.go
@@ -19,10 +19,11 @@
 
 // Weights orders engines to load newer versions.
 //
-// Load pattern: a version is named each few seconds, and a load takes an engine
-// out of placing for about a second. Engines that no open step can use load
-// first; the others load, fewest items first, while no item waits, since the
-// next step may use what is one version old.
+// Load pattern: a version is named each few seconds, and two engines at a time
+// load it in about a second each, during which they begin nothing while what
+// runs goes on. All engines take as long as a version lasts, so loading never
+// pauses; the engines with the oldest version go first, and of those the
+// fullest, since they couldn't begin anything anyway.
 func (ta *Table) Weights(now time.Time) {
 	for model, version := range ta.named {
 		ta.loadModel(model, version, now)
@@ -43,42 +44,32 @@
 			loading++
 			continue
 		}
-		if en.versions[model] < version && !en.leaving && !en.sick && !en.heardAt.IsZero() {
+		if en.versions[model] < version && !en.leaving && !en.gone && !en.sick && !en.heardAt.IsZero() {
 			behind = append(behind, en)
 		}
 	}
 	slices.SortFunc(behind, func(a, b *engineRow) int {
-		return cmp.Or(cmp.Compare(a.versions[model], b.versions[model]), cmp.Compare(len(a.items), len(b.items)),
+		return cmp.Or(cmp.Compare(a.versions[model], b.versions[model]), cmp.Compare(len(b.items), len(a.items)),
 			cmp.Compare(a.id, b.id))
 	})
-	needed, waits, single := ta.needs(model)
+	single := ta.wantsSingle(model)
 	for _, en := range behind {
 		if loading >= atOnce {
 			return
 		}
-		if en.versions[model] >= needed && waits {
-			continue
-		}
 		loading++
 		en.order = &runner.Order{Endpoint: en.id, Fence: ta.epoch, Keep: !single, Model: model, Version: version}
 		en.orderAt, en.ordered = now, false
 		ta.log("weights ordered", map[string]any{
-			"engine": en.id, "from": en.versions[model], "items": len(en.items), "model": model, "needed": needed,
-			"version": version, "waits": waits,
+			"engine": en.id, "from": en.versions[model], "items": len(en.items), "model": model,
+			"version": version,
 		})
 	}
 }
 
-// needs returns the oldest version that the newest open step may have, whether
-// items of the model wait, and whether any open step wants a single version.
-func (ta *Table) needs(model string) (needed uint64, waits, single bool) {
-	for _, sr := range ta.order {
-		if sr.step.Model != model {
-			continue
-		}
-		needed = max(needed, sr.step.MinVersion)
-		single = single || sr.step.SingleVersion
-		waits = waits || slices.ContainsFunc(sr.items, func(ir *itemRow) bool { return ir.state == waiting })
-	}
-	return needed, waits, single
+// wantsSingle reports whether any open step wants a single version.
+func (ta *Table) wantsSingle(model string) bool {
+	return slices.ContainsFunc(ta.order, func(sr *stepRow) bool {
+		return sr.step.Model == model && sr.step.SingleVersion
+	})
 }
