lease: fence on the lease's own key, and take it from a slow service

A call took 240 ms, and taking the lease had 0.67 s for six of them. Ruled out: the wiped disks (schedulers keep nothing), the rolling restarts.

--- a/lease/holder.go
+++ b/lease/holder.go
@@ -61,7 +61,7 @@
 // A grant is one acquisition of the lease. The zero grant is none.
 type grant struct {
 	epoch uint64
-	fence int64  // version of the counter of epochs since this acquisition raised it
+	fence int64  // version of the key of the lease
 	id    string // unique, so that a lost answer can be settled by reading
 	lease keyvalue.LeaseID
 	until time.Time // when the lease may be over
@@ -96,16 +96,32 @@
 }
 
 // Fence returns what a transaction of the holder under an epoch expects, so
-// that it is applied only while no later holder has raised the epoch.
+// that it is applied only while this acquisition's key is there.
 //
 // A write that the service delays may be applied after its sender has lost the
 // lease, and would overwrite what the next holder wrote. The expectation makes
-// the service itself refuse it.
+// the service itself refuse it. The counter of epochs would not do: whoever
+// tries for the name and finds it taken has raised it too.
 func (ho *Holder) Fence(epoch uint64) (keyvalue.Expectation, bool) {
 	ho.mu.Lock()
 	defer ho.mu.Unlock()
 	gr := ho.grant
-	return keyvalue.Expectation{Key: epochPrefix + ho.Name, Version: gr.fence}, epoch != 0 && gr.epoch == epoch
+	return keyvalue.Expectation{Key: leaseKey(ho.Name), Version: gr.fence}, epoch != 0 && gr.epoch == epoch
+}
+
+// Forfeit gives up a lease under an epoch that the holder has learned to be
+// gone. The service may take the key away and go on renewing the lease, which
+// then no one could hold.
+func (ho *Holder) Forfeit(epoch uint64) {
+	ho.mu.Lock()
+	gone := epoch != 0 && ho.grant.epoch == epoch
+	if gone {
+		ho.grant = grant{}
+	}
+	ho.mu.Unlock()
+	if gone {
+		ho.log("forfeited the lease", epoch, nil)
+	}
 }
 
 // Run steps until ctx ends. It does not release the lease.
@@ -145,8 +161,6 @@
 		return
 	}
 	defer ho.exit()
-	ctx, cancel := context.WithTimeout(ctx, ho.TTL/renewals)
-	defer cancel()
 	if ho.current().epoch != 0 {
 		ho.renew(ctx)
 	}
@@ -216,13 +230,14 @@
 // renew extends the lease. Only the service's own word ends it: without an
 // answer it becomes Unconfirmed when its time is over.
 func (ho *Holder) renew(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, ho.TTL/renewals)
+	defer cancel()
 	gr := ho.current()
 	sent := time.Now()
 	err := ho.Client.KeepAlive(ctx, gr.lease)
 	switch {
 	case err == nil:
-		gr.until = ho.expiry(sent)
-		ho.set(gr)
+		ho.extend(gr.epoch, ho.expiry(sent))
 	case errors.Is(err, keyvalue.ErrLeaseExpired):
 		ho.set(grant{})
 		ho.log("lost the lease", gr.epoch, err)
@@ -231,6 +246,15 @@
 	}
 }
 
+// extend moves the end of a lease, unless it was given up meanwhile.
+func (ho *Holder) extend(epoch uint64, until time.Time) {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	if ho.grant.epoch == epoch {
+		ho.grant.until = until
+	}
+}
+
 // acquire takes the lease if no one holds it.
 //
 // The epoch is raised first and the key of the lease is written second. A
@@ -238,7 +262,13 @@
 // has been overtaken meanwhile; readers would see epochs go back. So the
 // counter is read once more after the key was taken, when no one else can be
 // holding it: if it has moved, the lease is given back.
+//
+// The calls one after the other may take as long as a lease lasts. Bounded by
+// the time between two renewals, no one could take the lease from a service
+// that takes 240 ms for a call.
 func (ho *Holder) acquire(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, ho.TTL)
+	defer cancel()
 	if _, err := Current(ctx, ho.Client, ho.Name); !errors.Is(err, keyvalue.ErrNotFound) {
 		return // held by another, or the service is not to be reached
 	}
@@ -249,9 +279,9 @@
 		return
 	}
 	gr := grant{id: uuid.NewString(), lease: id, until: ho.expiry(sent)}
-	gr.epoch, gr.fence, err = raise(ctx, ho.Client, ho.Name, gr.id, ho.highest)
+	gr.epoch, err = raise(ctx, ho.Client, ho.Name, gr.id, ho.highest)
 	if err == nil {
-		err = ho.take(ctx, gr)
+		gr.fence, err = ho.take(ctx, gr)
 	}
 	if err == nil {
 		err = confirm(ctx, ho.Client, ho.Name, gr)
@@ -266,18 +296,19 @@
 	ho.log("took the lease", gr.epoch, nil)
 }
 
-// take writes the key of the lease. A lost answer is settled by reading.
-func (ho *Holder) take(ctx context.Context, gr grant) error {
+// take writes the key of the lease and returns its version. A lost answer is
+// settled by reading.
+func (ho *Holder) take(ctx context.Context, gr grant) (int64, error) {
 	rec := Record{Epoch: gr.epoch, ID: gr.id, Owner: ho.Owner}
-	_, err := ho.Client.Put(ctx, leaseKey(ho.Name), encode(rec), 0, gr.lease)
+	ve, err := ho.Client.Put(ctx, leaseKey(ho.Name), encode(rec), 0, gr.lease)
 	if !unknown(err) {
-		return err
+		return ve, err
 	}
-	now, errRead := Current(ctx, ho.Client, ho.Name)
+	now, ve, errRead := read(ctx, ho.Client, leaseKey(ho.Name))
 	if errRead == nil && now.ID == gr.id {
-		return nil
+		return ve, nil
 	}
-	return errors.CombineErrors(err, errRead)
+	return 0, errors.CombineErrors(err, errRead)
 }
 
 func (ho *Holder) log(message string, epoch uint64, err error) {
--- a/step/scheduler.go
+++ b/step/scheduler.go
@@ -278,6 +278,9 @@
 			failed = err != nil
 			sc.Log.WithFields(logrus.Fields{"dependency": "attendant", "engine": id, "error": err, "lost": failed}).Warn("dependency changed")
 		}
+		if errors.Is(err, runner.ErrOldEpoch) {
+			sc.Holder.Forfeit(te.epoch)
+		}
 		if err == nil {
 			sc.mu.Lock()
 			te.table.Heard(id, rq, re, time.Now())
@@ -410,10 +413,8 @@
 			sc.mu.Unlock()
 			chunks = nil
 		case errors.Is(err, keyvalue.ErrConflict):
-			sc.Log.WithError(err).Warn("results were listed by a later scheduler")
-			sc.mu.Lock()
-			te.ready = false // the lease's end follows
-			sc.mu.Unlock()
+			sc.Log.WithError(err).Warn("results were not listed: the lease is gone")
+			sc.Holder.Forfeit(te.epoch)
 			return
 		default:
 			sc.Log.WithError(err).Warn("results can't be listed")
