directory: a call that is cut is no outage

A fault that can cause it: any failed call to the store counted as an outage, and for 2.5 s after it the entry of an endpoint that had left was expected back. Now an outage lasts 2 s at least, as entries need that long to end. An attempt also reads the endpoints anew.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -12,6 +12,11 @@
 // to register again, 2 s, and a heartbeat's lag.
 const returnTime = 2500 * time.Millisecond
 
+// leastOutage is how long the service must have been away for entries to have
+// ended meanwhile: endpoints write each 1.2 s, and an entry ends after three
+// intervals of silence. Calls that are cut and repeated at once are no outage.
+const leastOutage = 2 * time.Second
+
 // A Directory is the table of routes and endpoints that a process believes in.
 // The zero Directory is empty and ready to use.
 type Directory struct {
@@ -103,7 +108,9 @@
 func (di *Directory) RemoveEndpoint(id string, now time.Time) {
 	di.mu.Lock()
 	defer di.mu.Unlock()
-	if di.awaySince.IsZero() && (di.backAt.IsZero() || now.Sub(di.backAt) > returnTime) {
+	away := !di.awaySince.IsZero() && now.Sub(di.awaySince) >= leastOutage
+	back := !di.backAt.IsZero() && now.Sub(di.backAt) <= returnTime
+	if !away && !back {
 		delete(di.endpoints, id)
 		return
 	}
@@ -156,8 +163,10 @@
 	case away:
 		di.awaySince = now
 	default:
+		if now.Sub(di.awaySince) >= leastOutage {
+			di.backAt = now
+		}
 		di.awaySince = time.Time{}
-		di.backAt = now
 	}
 	return true
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -95,7 +95,6 @@
 // run sends a request to endpoints in turn until one answers it. A repeatable
 // one that waits longer than usual goes to a second one meanwhile.
 func (fo *Forwarder) run(ctx context.Context, rq *request) *result {
-	ens := fo.Directory.Endpoints(rq.service)
 	tried := map[string]bool{}
 	results := make(chan *result, max(rq.route.MaxAttempts, 1))
 	running, ran := 0, false
@@ -104,7 +103,9 @@
 		if len(tried) >= max(rq.route.MaxAttempts, 1) {
 			return false
 		}
-		en, ok := fo.table.Pick(ens, tried, fo.Domain, time.Now())
+		// Read anew for each attempt: an endpoint may have begun to leave since
+		// the request came, and must get nothing more.
+		en, ok := fo.table.Pick(fo.Directory.Endpoints(rq.service), tried, fo.Domain, time.Now())
 		if !ok {
 			return false
 		}
@@ -120,7 +121,7 @@
 	if !launch() {
 		return last
 	}
-	hedge := time.NewTimer(max(hedgeFactor*fo.table.Latency(ens), minHedge))
+	hedge := time.NewTimer(max(hedgeFactor*fo.table.Latency(fo.Directory.Endpoints(rq.service)), minHedge))
 	defer hedge.Stop()
 	for running > 0 {
 		select {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -58,10 +58,9 @@
 
 // openStream sends a request to endpoints in turn until one begins to answer.
 func (fo *Forwarder) openStream(ctx context.Context, rq *request, tried map[string]bool) *result {
-	ens := fo.Directory.Endpoints(rq.service)
 	last := &result{notRun: true}
 	for len(tried) < max(rq.route.MaxAttempts, 1) {
-		en, ok := fo.table.Pick(ens, tried, fo.Domain, time.Now())
+		en, ok := fo.table.Pick(fo.Directory.Endpoints(rq.service), tried, fo.Domain, time.Now())
 		if !ok {
 			return last
 		}
