--- a/step/pace.go
+++ b/step/pace.go
@@ -91,7 +91,8 @@
 // others have free places. The step waits for its longest items, and one of
 // them on such an engine is late for sure; moved, it reads its text again,
 // which takes some 10 ms. A run is stopped before it goes on elsewhere, so that
-// no two engines work on it.
+// no two engines work on it, and its place elsewhere is kept for it: without,
+// items that waited took it, and runs went to and fro between slow engines.
 func (ta *Table) Move(now time.Time) {
 	for _, en := range ta.engines {
 		for _, ir := range en.items {
@@ -99,23 +100,58 @@
 				continue
 			}
 			why := en.reasonToMove(ir, now)
-			if why == "" && ta.betterElsewhere(ir, en, now) {
+			if why == "" && ta.long(en, ir) {
 				why = "faster engine"
 			}
-			if why == "" || !ta.roomElsewhere(ir, en, now) {
-				continue
+			if why != "" {
+				ta.move(ir, en, why, now)
 			}
-			ir.moves++
-			ir.run.stopping = true
-			ta.log("run moved", map[string]any{
-				"attempt": ir.run.key.Attempt, "engine": en.id, "events": len(ir.events), "item": ir.item.ID,
-				"pace-ms": en.report.Pace.Milliseconds(), "quiet-ms": now.Sub(ir.run.eventAt).Milliseconds(),
-				"step": ir.step.step.ID, "why": why,
-			})
 		}
 	}
 }
 
+// move stops a run if another engine would end it sooner.
+func (ta *Table) move(ir *itemRow, from *engineRow, why string, now time.Time) {
+	to := ta.target(ir, from, now)
+	if to == nil {
+		return
+	}
+	ir.moves++
+	ir.run.stopping = true
+	ir.target = to.id
+	to.reserved++
+	ta.log("run moved", map[string]any{
+		"attempt": ir.run.key.Attempt, "engine": from.id, "events": len(ir.events), "item": ir.item.ID,
+		"pace-ms": from.report.Pace.Milliseconds(), "quiet-ms": now.Sub(ir.run.eventAt).Milliseconds(),
+		"step": ir.step.step.ID, "to": to.id, "why": why,
+	})
+}
+
+// target returns the engine that a run is best moved to, or nil.
+func (ta *Table) target(ir *itemRow, from *engineRow, now time.Time) *engineRow {
+	var best *engineRow
+	for _, en := range ta.engines {
+		if en == from || en.slow(now) || !ta.usable(en, ir) || en.free() <= sparePlaces {
+			continue
+		}
+		if !from.slow(now) && from.pace > 0 && float64(en.pace) >= (1-paceTolerance)*float64(from.pace) && !from.stalled(ir, now) {
+			continue
+		}
+		if best == nil || ta.score(en, ir, now) > ta.score(best, ir, now) {
+			best = en
+		}
+	}
+	return best
+}
+
+// unreserve gives the place back that was kept for a moved item.
+func (ta *Table) unreserve(ir *itemRow) {
+	if en, ok := ta.engines[ir.target]; ok && ir.target != "" {
+		en.reserved--
+	}
+	ir.target = ""
+}
+
 // reasonToMove returns why a run would do better elsewhere, or "".
 func (en *engineRow) reasonToMove(ir *itemRow, now time.Time) string {
 	quiet := now.Sub(ir.run.eventAt)
@@ -131,36 +167,14 @@
 	}
 }
 
-// betterElsewhere reports whether a long run would end much sooner at a faster
-// engine that has places. A move costs some 50 ms.
-func (ta *Table) betterElsewhere(ir *itemRow, from *engineRow, now time.Time) bool {
-	if from.pace == 0 || len(ir.events)-ir.run.prior < minMoveEvents {
-		return false
-	}
-	for _, en := range ta.engines {
-		if en == from || en.slow(now) || en.pace == 0 || !ta.usable(en, ir) || en.free() <= sparePlaces {
-			continue
-		}
-		if float64(en.pace) < (1-paceTolerance)*float64(from.pace) {
-			return true
-		}
-	}
-	return false
+// stalled reports whether a run has made nothing for too long.
+func (en *engineRow) stalled(ir *itemRow, now time.Time) bool {
+	return en.reasonToMove(ir, now) != "" && !en.slow(now)
 }
 
-// roomElsewhere reports whether another engine could take an item, besides
-// those that are moved to it already.
-func (ta *Table) roomElsewhere(ir *itemRow, from *engineRow, now time.Time) bool {
-	room := 0
-	for _, en := range ta.engines {
-		if en != from && !en.slow(now) && ta.usable(en, ir) {
-			room += max(en.free(), 0)
-		}
-		for _, other := range en.items {
-			if other.run.stopping {
-				room--
-			}
-		}
-	}
-	return room > 0
+// long reports whether a run has proved long, on an engine that is slower than
+// the best all day. A move costs some 50 ms.
+func (ta *Table) long(en *engineRow, ir *itemRow) bool {
+	best := ta.bestPace(en.service)
+	return best > 0 && float64(best) < (1-paceTolerance)*float64(en.pace) && len(ir.events)-ir.run.prior >= minMoveEvents
 }
--- a/step/place.go
+++ b/step/place.go
@@ -33,7 +33,7 @@
 }
 
 // free returns how many places of an engine are free.
-func (en *engineRow) free() int { return en.slots - len(en.items) - en.foreign }
+func (en *engineRow) free() int { return en.slots - len(en.items) - en.foreign - en.reserved }
 
 // usable reports whether an engine may run an item.
 func (ta *Table) usable(en *engineRow, ir *itemRow) bool {
@@ -73,7 +73,13 @@
 // the rest in the order of arrival.
 func (ta *Table) Place(now time.Time) {
 	for _, ir := range ta.waiting(now) {
-		if en := ta.choose(ir, now); en != nil {
+		kept := ta.engines[ir.target]
+		ta.unreserve(ir)
+		en := kept
+		if en == nil || en.free() <= 0 || !ta.usable(en, ir) {
+			en = ta.choose(ir, now)
+		}
+		if en != nil {
 			ta.start(ir, en, now)
 		}
 	}
--- a/step/table.go
+++ b/step/table.go
@@ -32,6 +32,7 @@
 	spare    time.Duration // time that it can wait, as of the last placing
 	since    time.Time     // waiting or running since then
 	run      run           // if running
+	target   string        // engine that keeps a place for the item while it moves
 	unwanted string        // engine that the item was moved away from
 }
 
@@ -84,6 +85,7 @@
 	joinedAt time.Time
 	pace     time.Duration // of an event, as last seen; 0 means unknown
 	report   runner.Report
+	reserved int       // places that are kept for items that move here
 	slowAt   time.Time // it was much slower than the others
 	slowerAt time.Time // it has been slower since then without a break
 	sick     bool      // its engine doesn't answer its attendant
@@ -193,6 +195,7 @@
 
 // settle ends an item's way.
 func (ta *Table) settle(ir *itemRow, state itemState, now time.Time) {
+	ta.unreserve(ir)
 	ir.state, ir.doneAt = state, now
 	gr := ir.step.groups[ir.item.Group]
 	gr.left--
@@ -211,6 +214,7 @@
 	ta.log("step ended", map[string]any{"listed": len(sr.results), "step": id, "total": len(sr.step.Items)})
 	for _, ir := range sr.items {
 		ta.release(ir)
+		ta.unreserve(ir)
 		if len(ir.events) > 0 && ir.state != lost {
 			ta.reuse[ir.item.ID] = ir
 		}
