--- a/step/engines.go
+++ b/step/engines.go
@@ -1,6 +1,9 @@
 package step
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"wisteriacroft/runner"
@@ -56,6 +59,10 @@
 			delete(ta.engines, id)
 		}
 	}
+	ta.sorted = ta.sorted[:0]
+	for _, id := range slices.Sorted(maps.Keys(ta.engines)) {
+		ta.sorted = append(ta.sorted, ta.engines[id])
+	}
 }
 
 // drop lets an engine's runs go on elsewhere.
@@ -73,7 +80,7 @@
 // Silence moves the runs of engines whose attendants have not answered for too
 // long.
 func (ta *Table) Silence(now time.Time) {
-	for _, en := range ta.engines {
+	for _, en := range ta.sorted {
 		if len(en.items) > 0 && !en.heardAt.IsZero() && now.Sub(en.heardAt) > silentAfter {
 			ta.drop(en, "attendant is silent", now)
 		}
@@ -100,6 +107,8 @@
 	for key := range en.forget {
 		rq.Forget = append(rq.Forget, key)
 	}
+	// Engines admit in the order of arrival, so what was placed first goes first.
+	slices.SortFunc(rq.Launches, func(a, b runner.Launch) int { return cmp.Compare(a.Key.Attempt, b.Key.Attempt) })
 	return rq, true
 }
 
--- a/step/pace.go
+++ b/step/pace.go
@@ -40,7 +40,7 @@
 // that are much slower.
 func (ta *Table) Paces(now time.Time) {
 	byService := map[string][]time.Duration{}
-	for _, en := range ta.engines {
+	for _, en := range ta.sorted {
 		if en.report.PaceGaps >= paceGaps {
 			byService[en.service] = append(byService[en.service], en.report.Pace)
 		}
@@ -49,7 +49,7 @@
 		slices.Sort(paces)
 		ta.paces[service] = paces[len(paces)/2]
 	}
-	for _, en := range ta.engines {
+	for _, en := range ta.sorted {
 		ta.judgePace(en, now)
 	}
 }
@@ -94,9 +94,10 @@
 // no two engines work on it, and its place elsewhere is kept for it: without,
 // items that waited took it, and runs went to and fro between slow engines.
 func (ta *Table) Move(now time.Time) {
-	for _, en := range ta.engines {
-		for _, ir := range en.items {
-			if ir.run.stopping || !ir.run.confirmed || ir.moves >= maxMoves {
+	for _, sr := range ta.order {
+		for _, ir := range sr.items {
+			en := ta.engines[ir.run.engine]
+			if en == nil || ir.run.stopping || !ir.run.confirmed || ir.moves >= maxMoves {
 				continue
 			}
 			why := en.reasonToMove(ir, now)
@@ -130,14 +131,14 @@
 // target returns the engine that a run is best moved to, or nil.
 func (ta *Table) target(ir *itemRow, from *engineRow, now time.Time) *engineRow {
 	var best *engineRow
-	for _, en := range ta.engines {
+	for _, en := range ta.sorted {
 		if en == from || en.slow(now) || !ta.usable(en, ir) || en.free() <= sparePlaces {
 			continue
 		}
 		if !from.slow(now) && from.pace > 0 && float64(en.pace) >= (1-paceTolerance)*float64(from.pace) && !from.stalled(ir, now) {
 			continue
 		}
-		if best == nil || ta.score(en, ir, now) > ta.score(best, ir, now) {
+		if best == nil || ta.rank(en, ir, now) > ta.rank(best, ir, now) {
 			best = en
 		}
 	}
--- a/step/place.go
+++ b/step/place.go
@@ -128,14 +128,14 @@
 func (ta *Table) choose(ir *itemRow, now time.Time) *engineRow {
 	var best *engineRow
 	bestScore := 0.0
-	for _, en := range ta.engines {
+	for _, en := range ta.sorted {
 		if en.free() <= 0 || !ta.usable(en, ir) || len(en.items) > 0 && en.memoryFree() < ir.item.Prompt+ir.item.expected() {
 			continue
 		}
 		if en.id == ir.unwanted && now.Sub(ir.since) < againAfter {
 			continue
 		}
-		score := ta.score(en, ir, now)
+		score := ta.rank(en, ir, now)
 		if best == nil || score > bestScore || score == bestScore && en.id < best.id {
 			best, bestScore = en, score
 		}
@@ -205,7 +205,7 @@
 // bestPace returns the pace of the fastest engine of a service, or 0.
 func (ta *Table) bestPace(service string) time.Duration {
 	best := time.Duration(0)
-	for _, en := range ta.engines {
+	for _, en := range ta.sorted {
 		if en.service == service && en.pace > 0 && (best == 0 || en.pace < best) {
 			best = en.pace
 		}
--- a/step/replay_test.go
+++ b/step/replay_test.go
@@ -14,10 +14,11 @@
 // tokens at a pace that depends on what they run, attendants that answer each
 // second tick, and trainers that ask for steps and end them.
 type replay struct {
-	engines []*simEngine
-	now     time.Time
-	table   *Table
-	trainer *simTrainer
+	baseline bool // no run is moved, and the freest engine is taken
+	engines  []*simEngine
+	now      time.Time
+	table    *Table
+	trainer  *simTrainer
 }
 
 // A simEngine makes tokens as the engines of the deployments do, by their
@@ -28,6 +29,7 @@
 	factor  float64 // slower by
 	loading time.Time
 	target  uint64
+	order   []*simRun // by launch
 	runs    map[runner.Key]*simRun
 	version uint64
 	dead    bool
@@ -61,7 +63,7 @@
 
 func (se *simEngine) context() float64 {
 	tokens := 0.0
-	for _, ru := range se.runs {
+	for _, ru := range se.order {
 		if ru.state == runner.Running {
 			tokens += 271 + (float64(len(ru.launch.Prior))+ru.made)*simEventTokens
 		}
@@ -121,6 +123,7 @@
 			ru.state = runner.NotRun
 		}
 		se.runs[la.Key] = ru
+		se.order = append(se.order, ru)
 	}
 	for _, key := range rq.Stops {
 		if ru := se.runs[key]; ru != nil && ru.state == runner.Running {
@@ -129,6 +132,7 @@
 	}
 	for _, key := range rq.Forget {
 		delete(se.runs, key)
+		se.order = slices.DeleteFunc(se.order, func(ru *simRun) bool { return ru.launch.Key == key })
 	}
 	if rq.Order != nil && rq.Order.Version > se.version && se.loading.IsZero() {
 		se.loading, se.target = now.Add(simLoad), rq.Order.Version
@@ -140,9 +144,9 @@
 	if !se.loading.IsZero() {
 		re.Ordered = se.target
 	}
-	for key, ru := range se.runs {
+	for _, ru := range se.order {
 		re.Runs = append(re.Runs, runner.Progress{
-			Endpoint: se.id, Events: slices.Clone(ru.events), Key: key, State: ru.state,
+			Endpoint: se.id, Events: slices.Clone(ru.events), Key: ru.launch.Key, State: ru.state,
 		})
 	}
 	return re
@@ -301,7 +305,9 @@
 		ta.Silence(re.now)
 		ta.Paces(re.now)
 		ta.GiveUp(re.now)
-		ta.Move(re.now)
+		if !re.baseline {
+			ta.Move(re.now)
+		}
 		ta.Place(re.now)
 		ta.Weights(re.now)
 		if chunks := ta.Due(re.now); len(chunks) > 0 {
--- a/step/table.go
+++ b/step/table.go
@@ -101,6 +101,8 @@
 type Table struct {
 	attempt uint64 // of the newest run
 	engines map[string]*engineRow
+	sorted  []*engineRow // engines by ID, so that equal loads are decided equally
+	rank    func(en *engineRow, ir *itemRow, now time.Time) float64
 	epoch   uint64
 	// lengths are the most events that any run of an item has made: groups that
 	// come again bring the items that last longest.
@@ -124,11 +126,13 @@
 	if log == nil {
 		log = func(string, map[string]any) {}
 	}
-	return &Table{
+	ta := &Table{
 		attempt: epoch << attemptBits, engines: map[string]*engineRow{}, epoch: epoch, log: log,
 		paces: map[string]time.Duration{}, named: map[string]uint64{}, lengths: map[string]int{}, reuse: map[string]*itemRow{},
 		steps: map[string]*stepRow{},
 	}
+	ta.rank = ta.score
+	return ta
 }
 
 // Accept adds a step with what is listed of it.
--- a/step/weights.go
+++ b/step/weights.go
@@ -33,7 +33,7 @@
 func (ta *Table) loadModel(model string, version uint64, now time.Time) {
 	loading := 0
 	var behind []*engineRow
-	for _, en := range ta.engines {
+	for _, en := range ta.sorted {
 		if en.versions[model] == 0 {
 			continue
 		}
