step: keep checkpoints of runs, and hear from engines before placing

Text of long runs is kept each second with the listings; the next scheduler resumes from it. A run is moved only if it ends 0.4 s sooner for it.

--- /dev/null
+++ b/step/checkpoint.go
@@ -0,0 +1,123 @@
+package step
+
+import (
+	"time"
+
+	"wisteriacroft/runner"
+)
+
+// Bounds of checkpoints.
+const (
+	// checkpointEvery is how often the text of runs that are under way is kept.
+	// Each costs a call, and saves a second less of work when all is lost.
+	checkpointEvery = time.Second
+	// checkpointEvents is how many new events a run must have: three quarters of
+	// all items end within 30, and running those again costs a second.
+	checkpointEvents = 20
+	// maxDeletes bounds the keys that one write removes.
+	maxDeletes = 8
+)
+
+// A Partial is text that a run has made of an item that is not whole.
+type Partial struct {
+	Events []runner.Event
+	First  int // position of the first of Events in the item's text
+	Item   string
+}
+
+// A Checkpoint is the text of a step's runs since its last one.
+type Checkpoint struct {
+	Number   int
+	Partials []Partial
+	Step     string
+}
+
+// Checkpoints returns the text that is to be kept now.
+//
+// All instances may lose power at the same moment. The text of runs is then in
+// no memory any more; begun again, an item of 7 s makes its step miss the time
+// for which its trainer waits.
+func (ta *Table) Checkpoints(now time.Time) []Checkpoint {
+	if now.Sub(ta.savedAt) < checkpointEvery {
+		return nil
+	}
+	ta.savedAt = now
+	var cps []Checkpoint
+	for _, sr := range ta.order {
+		if cp := sr.checkpoint(); len(cp.Partials) > 0 && len(cps) < maxChunks {
+			cps = append(cps, cp)
+		}
+	}
+	return cps
+}
+
+func (sr *stepRow) checkpoint() Checkpoint {
+	cp := Checkpoint{Number: sr.checkpoints, Step: sr.step.ID}
+	size := 0
+	for _, ir := range sr.items {
+		if ir.state != running && ir.state != waiting || len(ir.events)-ir.saved < checkpointEvents || size > partSize/2 {
+			continue
+		}
+		pa := Partial{Events: ir.events[ir.saved:], First: ir.saved, Item: ir.item.ID}
+		for _, ev := range pa.Events {
+			size += len(ev.Data)
+		}
+		cp.Partials = append(cp.Partials, pa)
+	}
+	return cp
+}
+
+// Saved takes in that checkpoints are kept.
+func (ta *Table) Saved(cps []Checkpoint) {
+	for _, cp := range cps {
+		sr, ok := ta.steps[cp.Step]
+		if !ok {
+			continue
+		}
+		sr.checkpoints = max(sr.checkpoints, cp.Number+1)
+		if sr.ended {
+			ta.garbage = append(ta.garbage, checkpointKey(cp.Step, cp.Number))
+			continue
+		}
+		saved := map[string]int{}
+		for _, pa := range cp.Partials {
+			saved[pa.Item] = pa.First + len(pa.Events)
+		}
+		for _, ir := range sr.items {
+			if count, ok := saved[ir.item.ID]; ok {
+				ir.saved = min(count, len(ir.events))
+			}
+		}
+	}
+}
+
+// restore gives items the text that an earlier scheduler kept.
+func (sr *stepRow) restore(cps []Checkpoint) {
+	rows := map[string]*itemRow{}
+	for _, ir := range sr.items {
+		rows[ir.item.ID] = ir
+	}
+	for _, cp := range cps {
+		sr.checkpoints = max(sr.checkpoints, cp.Number+1)
+		for _, pa := range cp.Partials {
+			ir := rows[pa.Item]
+			if ir == nil || ir.state != waiting || pa.First > len(ir.events) {
+				continue
+			}
+			ir.events = append(ir.events[:pa.First:pa.First], pa.Events...)
+			ir.saved = len(ir.events)
+		}
+	}
+	for _, ir := range sr.items {
+		if ir.state == waiting && !sr.step.fits(ir.events) {
+			ir.events, ir.saved = nil, 0
+		}
+	}
+}
+
+// Garbage returns keys that are no longer needed, to be removed with the next
+// write.
+func (ta *Table) Garbage() []string { return ta.garbage[:min(len(ta.garbage), maxDeletes)] }
+
+// Removed takes in that keys are removed.
+func (ta *Table) Removed(count int) { ta.garbage = ta.garbage[count:] }
--- a/step/engines.go
+++ b/step/engines.go
@@ -244,7 +244,7 @@
 		if ir.state != waiting || len(pr.Events) < len(ir.events) {
 			return false
 		}
-		ir.events = nil
+		ir.events, ir.saved = nil, 0
 		ir.state, ir.since = running, now
 		ir.run = run{confirmed: true, engine: en.id, eventAt: now, key: pr.Key}
 		en.items[pr.Key] = ir
@@ -272,7 +272,7 @@
 		return true
 	}
 	ta.requeue(ir, "made by a version that the step may not have", now)
-	ir.events = nil
+	ir.events, ir.saved = nil, 0
 	return false
 }
 
--- a/step/keep.go
+++ b/step/keep.go
@@ -18,9 +18,11 @@
 // call follows both.
 const (
 	intakePrefix = "wisteriacroft/intake/"
-	stepPrefix   = intakePrefix + "step/" // then ID/PART
-	endPrefix    = intakePrefix + "end/"  // then ID
-	listedPrefix = "wisteriacroft/listed/"
+	stepPrefix   = intakePrefix + "step/"  // then ID/PART
+	endPrefix    = intakePrefix + "end/"   // then ID
+	listedPrefix = "wisteriacroft/listed/" // then ID/CHUNK
+
+	checkpointPrefix = "wisteriacroft/checkpoint/" // then ID/NUMBER
 )
 
 // partSize is the size of one value of a step or a listing, in bytes. A value
@@ -92,7 +94,7 @@
 		return nil, err
 	}
 	var in intake
-	in.apply(ch.Items)
+	in.apply(ch.Items, true)
 	st, ok := in.steps[id]
 	if !ok {
 		return nil, errors.Wrapf(ErrUnknownStep, "step %s", id)
@@ -140,7 +142,7 @@
 // Drop removes all that is kept of a step.
 func (ke *Keeper) Drop(ctx context.Context, id string) error {
 	keys := []string{endPrefix + id}
-	for _, prefix := range []string{stepPrefix + id + "/", listedPrefix + id + "/"} {
+	for _, prefix := range []string{stepPrefix + id + "/", listedPrefix + id + "/", checkpointPrefix + id + "/"} {
 		ch, err := ke.Client.Scan(ctx, prefix)
 		if err != nil {
 			return err
@@ -166,24 +168,47 @@
 	Step    string
 }
 
-// List adds chunks to their steps, if fence still holds. It may be repeated
-// with the same chunks; done tells that they are listed.
-func (ke *Keeper) List(ctx context.Context, fence keyvalue.Expectation, chunks []Chunk) (done bool, err error) {
-	tx := keyvalue.Transaction{Expects: []keyvalue.Expectation{fence}}
-	for _, ch := range chunks {
-		value, err := cbor.Marshal(ch.Results)
-		if err != nil {
-			return false, errors.Wrapf(err, "step %s", ch.Step)
-		}
-		key := listedKey(ch.Step, ch.Number)
+// An Update is what a scheduler writes at once.
+type Update struct {
+	Checkpoints []Checkpoint
+	Chunks      []Chunk
+	Deletes     []string
+}
+
+// transaction returns the update as one that is applied only under a fence.
+func (up Update) transaction(fence keyvalue.Expectation) (keyvalue.Transaction, error) {
+	tx := keyvalue.Transaction{Deletes: up.Deletes, Expects: []keyvalue.Expectation{fence}}
+	add := func(key string, value any) error {
+		data, err := cbor.Marshal(value)
 		tx.Expects = append(tx.Expects, keyvalue.Expectation{Key: key})
-		tx.Writes = append(tx.Writes, keyvalue.Write{Key: key, Value: value})
+		tx.Writes = append(tx.Writes, keyvalue.Write{Key: key, Value: data})
+		return errors.Wrapf(err, "encode %s", key)
+	}
+	for _, ch := range up.Chunks {
+		if err := add(listedKey(ch.Step, ch.Number), ch.Results); err != nil {
+			return tx, err
+		}
+	}
+	for _, cp := range up.Checkpoints {
+		if err := add(checkpointKey(cp.Step, cp.Number), cp); err != nil {
+			return tx, err
+		}
+	}
+	return tx, nil
+}
+
+// Write applies an update, if fence still holds. It may be repeated with the
+// same update; done tells that it is applied.
+func (ke *Keeper) Write(ctx context.Context, fence keyvalue.Expectation, up Update) (done bool, err error) {
+	tx, err := up.transaction(fence)
+	if err != nil {
+		return false, err
 	}
 	_, err = ke.Client.Transact(ctx, tx)
-	if !errors.Is(err, keyvalue.ErrConflict) {
+	if !errors.Is(err, keyvalue.ErrConflict) || len(tx.Writes) == 0 {
 		return err == nil, err
 	}
-	// An earlier try of the same chunks may have been applied.
+	// An earlier try of the same update may have been applied.
 	it, errGet := ke.Client.Get(ctx, tx.Writes[0].Key)
 	if errGet == nil && bytes.Equal(it.Value, tx.Writes[0].Value) {
 		return true, nil
@@ -194,10 +219,35 @@
 	return false, err
 }
 
+// Kept returns what earlier schedulers kept of an open step.
+func (ke *Keeper) Kept(ctx context.Context, id string) (Kept, error) {
+	listed, err := ke.Listed(ctx, id)
+	if err != nil {
+		return Kept{}, err
+	}
+	ch, err := ke.Client.Scan(ctx, checkpointPrefix+id+"/")
+	if err != nil {
+		return Kept{}, err
+	}
+	kept := Kept{Listed: listed}
+	for _, it := range ch.Items {
+		var cp Checkpoint
+		if err := cbor.Unmarshal(it.Value, &cp); err != nil {
+			return Kept{}, errors.Wrapf(err, "decode %s", it.Key)
+		}
+		kept.Checkpoints = append(kept.Checkpoints, cp)
+	}
+	return kept, nil
+}
+
 func stepKey(id string, number int) string {
 	return stepPrefix + id + "/" + strconv.Itoa(number)
 }
 
+func checkpointKey(id string, number int) string {
+	return fmt.Sprintf("%s%s/%06d", checkpointPrefix, id, number)
+}
+
 func listedKey(id string, number int) string {
 	return fmt.Sprintf("%s%s/%06d", listedPrefix, id, number)
 }
@@ -208,13 +258,17 @@
 	ended map[string]bool
 	parts map[string]map[int]part
 	steps map[string]*Step
+	// scanned are the steps that were there when the prefix was read whole, and
+	// of which more may be kept.
+	scanned map[string]bool
 }
 
 // apply takes changes in and returns the steps that are new and those that
 // have ended.
-func (in *intake) apply(its []keyvalue.Item) (accepted []*Step, ended []string) {
+func (in *intake) apply(its []keyvalue.Item, scanned bool) (accepted []*Step, ended []string) {
 	if in.steps == nil {
-		in.ended, in.parts, in.steps = map[string]bool{}, map[string]map[int]part{}, map[string]*Step{}
+		in.ended, in.scanned = map[string]bool{}, map[string]bool{}
+		in.parts, in.steps = map[string]map[int]part{}, map[string]*Step{}
 	}
 	for _, it := range its {
 		if it.Value == nil {
@@ -228,6 +282,7 @@
 			continue
 		}
 		if st := in.applyPart(it); st != nil {
+			in.scanned[st.ID] = scanned
 			accepted = append(accepted, st)
 		}
 	}
--- a/step/listing.go
+++ b/step/listing.go
@@ -13,7 +13,7 @@
 	itemWait = 1200 * time.Millisecond
 	// maxChunks bounds the steps of one write: each takes an expectation and a
 	// value of a transaction, which has 32 at most.
-	maxChunks = 12
+	maxChunks = 8
 )
 
 // Due returns the results that are to be listed now, a chunk for each step.
--- a/step/pace.go
+++ b/step/pace.go
@@ -31,6 +31,9 @@
 	minMoveEvents = 30
 	// sparePlaces is how many places a faster engine keeps free for new items.
 	sparePlaces = 1
+	// moveCost is how much sooner a run must end elsewhere to be moved: the move
+	// itself takes some 150 ms, and its prompt holds up the others there.
+	moveCost = 400 * time.Millisecond
 	// maxMoves bounds how often an item is moved: a moved run reads its whole
 	// text again.
 	maxMoves = 4
@@ -135,7 +138,7 @@
 		if en == from || en.slow(now) || !ta.usable(en, ir) || en.free() <= sparePlaces {
 			continue
 		}
-		if !from.slow(now) && from.pace > 0 && float64(en.pace) >= (1-paceTolerance)*float64(from.pace) && !from.stalled(ir, now) {
+		if !from.stalled(ir, now) && gain(ir, from, en) < moveCost {
 			continue
 		}
 		if best == nil || ta.rank(en, ir, now) > ta.rank(best, ir, now) {
@@ -145,6 +148,15 @@
 	return best
 }
 
+// gain returns how much sooner a run would end at another engine.
+func gain(ir *itemRow, from, to *engineRow) time.Duration {
+	if from.pace == 0 || to.pace == 0 {
+		return 0
+	}
+	events := float64(ir.left()) / eventTokens
+	return time.Duration(events * float64(from.pace-to.pace))
+}
+
 // unreserve gives the place back that was kept for a moved item.
 func (ta *Table) unreserve(ir *itemRow) {
 	if en, ok := ta.engines[ir.target]; ok && ir.target != "" {
--- a/step/place.go
+++ b/step/place.go
@@ -72,6 +72,9 @@
 // to take. No more than its places are given to an engine, which would admit
 // the rest in the order of arrival.
 func (ta *Table) Place(now time.Time) {
+	if ta.listening(now) {
+		return
+	}
 	for _, ir := range ta.waiting(now) {
 		kept := ta.engines[ir.target]
 		ta.unreserve(ir)
@@ -85,6 +88,24 @@
 	}
 }
 
+// listening reports whether a new scheduler still waits to hear from engines.
+//
+// Items that run at engines, or have ended there, look as if they waited until
+// their attendants have answered. Placed at once, they would run a second time
+// from the start, and the text that is there would be thrown away.
+func (ta *Table) listening(now time.Time) bool {
+	if ta.begun.IsZero() {
+		ta.begun = now
+	}
+	if now.Sub(ta.begun) > listenTime {
+		return false
+	}
+	return slices.ContainsFunc(ta.sorted, func(en *engineRow) bool { return en.heardAt.IsZero() && !en.gone })
+}
+
+// listenTime bounds how long a new scheduler waits: three exchanges.
+const listenTime = 500 * time.Millisecond
+
 // waiting returns the items that wait, the one with the least time to spare
 // first.
 func (ta *Table) waiting(now time.Time) []*itemRow {
@@ -114,11 +135,14 @@
 // one of those that last, and is expected to need as much again.
 func (ir *itemRow) left() int {
 	made := len(ir.events) * eventTokens
-	expected := max(ir.item.expected(), ir.known*eventTokens)
-	if made >= expected {
-		return made
+	left := max(ir.item.expected(), ir.known*eventTokens) - made
+	if left <= 0 {
+		left = made
+	}
+	if bound := ir.item.Tokens - ir.item.Prompt; bound > 0 {
+		left = min(left, max(bound-made, 0))
 	}
-	return expected - made
+	return left
 }
 
 // eventTokens is about how many tokens an event holds.
--- a/step/replay_test.go
+++ b/step/replay_test.go
@@ -229,7 +229,7 @@
 	for _, name := range names {
 		st.Items = append(st.Items, tr.names[name]...)
 	}
-	re.table.Accept(st, nil, false, re.now)
+	re.table.Accept(st, Kept{}, false, re.now)
 	tr.open = append(tr.open, &simStep{row: re.table.steps[st.ID], step: st, asked: re.now, first: first})
 	tr.asked += tr.target
 	tr.next++
--- a/step/scheduler.go
+++ b/step/scheduler.go
@@ -163,7 +163,7 @@
 	sc.term = te
 	sc.Log.WithField("epoch", epoch).Info("scheduler")
 	go sc.follow(ctx, te)
-	go sc.listResults(ctx, te)
+	go sc.write(ctx, te)
 }
 
 // tick runs the systems.
@@ -317,16 +317,16 @@
 			pause(ctx, retryAfter)
 			continue
 		}
-		accepted, ended := in.apply(ch.Items)
-		listed, err := sc.listed(ctx, &in, accepted)
+		accepted, ended := in.apply(ch.Items, scan)
+		kept, err := sc.kept(ctx, &in, accepted)
 		if err != nil {
-			sc.Log.WithError(err).Warn("listed results can't be read")
+			sc.Log.WithError(err).Warn("what is kept of steps can't be read")
 			in = intake{} // read all again
 			after, scan = 0, true
 			pause(ctx, retryAfter)
 			continue
 		}
-		sc.takeIntake(te, &in, accepted, ended, listed)
+		sc.takeIntake(te, &in, accepted, ended, kept)
 		after, scan = max(after, ch.Version), false
 	}
 }
@@ -342,33 +342,33 @@
 	return sc.Keeper.Client.Follow(ctx, intakePrefix, after, intakeWait)
 }
 
-// listed reads what earlier schedulers listed of steps that are open. The
-// results of those that have ended are read when someone asks.
-func (sc *Scheduler) listed(ctx context.Context, in *intake, accepted []*Step) (map[string][][]Result, error) {
+// kept reads what earlier schedulers kept of steps that are open. The results
+// of those that have ended are read when someone asks.
+func (sc *Scheduler) kept(ctx context.Context, in *intake, accepted []*Step) (map[string]Kept, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	listed := map[string][][]Result{}
+	kept := map[string]Kept{}
 	for _, st := range accepted {
-		if in.ended[st.ID] {
-			continue
+		if in.ended[st.ID] || !in.scanned[st.ID] {
+			continue // a step that has just been accepted has nothing yet
 		}
-		chunks, err := sc.Keeper.Listed(ctx, st.ID)
+		ke, err := sc.Keeper.Kept(ctx, st.ID)
 		if err != nil {
 			return nil, err
 		}
-		listed[st.ID] = chunks
+		kept[st.ID] = ke
 	}
-	return listed, nil
+	return kept, nil
 }
 
 func (sc *Scheduler) takeIntake(
-	te *term, in *intake, accepted []*Step, ended []string, listed map[string][][]Result,
+	te *term, in *intake, accepted []*Step, ended []string, kept map[string]Kept,
 ) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	now := time.Now()
 	for _, st := range accepted {
-		te.table.Accept(st, listed[st.ID], in.ended[st.ID], now)
+		te.table.Accept(st, kept[st.ID], in.ended[st.ID], now)
 	}
 	for _, id := range ended {
 		te.table.End(id)
@@ -383,35 +383,27 @@
 	}
 }
 
-// listResults lists results while the term lasts, one write at a time. A write
-// whose outcome is not known is repeated as it was.
-func (sc *Scheduler) listResults(ctx context.Context, te *term) {
-	var chunks []Chunk
+// write writes results and checkpoints while the term lasts, one update at a
+// time. One whose outcome is not known is repeated as it was.
+func (sc *Scheduler) write(ctx context.Context, te *term) {
+	var up Update
 	for ctx.Err() == nil {
-		if len(chunks) == 0 {
+		if up.empty() {
 			sc.mu.Lock()
-			chunks = te.table.Due(time.Now())
+			up = te.table.Update(time.Now())
 			sc.mu.Unlock()
 		}
-		if len(chunks) == 0 {
+		if up.empty() {
 			pause(ctx, tickEvery)
 			continue
 		}
-		fence, ok := sc.Holder.Fence(te.epoch)
-		if !ok {
-			return
-		}
-		begun := time.Now()
-		cx, cancel := context.WithTimeout(ctx, listTimeout)
-		done, err := sc.Keeper.List(cx, fence, chunks)
-		cancel()
-		sc.Metrics.GetOrCreateHistogram(`wisteriacroft_list_seconds`).UpdateDuration(begun)
+		done, err := sc.writeOnce(ctx, te, up)
 		switch {
 		case done:
 			sc.mu.Lock()
-			te.table.Listed(chunks)
+			te.table.Written(up)
 			sc.mu.Unlock()
-			chunks = nil
+			up = Update{}
 		case errors.Is(err, keyvalue.ErrConflict):
 			sc.Log.WithError(err).Warn("results were not listed: the lease is gone")
 			sc.Holder.Forfeit(te.epoch)
@@ -423,6 +415,17 @@
 	}
 }
 
+func (sc *Scheduler) writeOnce(ctx context.Context, te *term, up Update) (bool, error) {
+	fence, ok := sc.Holder.Fence(te.epoch)
+	if !ok {
+		return false, keyvalue.ErrConflict
+	}
+	defer sc.Metrics.GetOrCreateHistogram(`wisteriacroft_list_seconds`).UpdateDuration(time.Now())
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	return sc.Keeper.Write(ctx, fence, up)
+}
+
 func pause(ctx context.Context, wait time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/step/table.go
+++ b/step/table.go
@@ -27,6 +27,7 @@
 	doneAt   time.Time
 	events   []runner.Event
 	failures int // answers of engines that failed
+	saved    int // events that are kept in a checkpoint
 	known    int // events that an earlier run made, at least
 	listed   bool
 	moves    int
@@ -56,15 +57,16 @@
 
 // A stepRow is a step that the scheduler holds.
 type stepRow struct {
-	step    *Step
-	ended   bool
-	groups  map[string]*groupRow
-	items   []*itemRow
-	chunks  int // that are listed
-	results []Result
-	changed chan struct{} // closed when results are listed
-	idle    bool          // all items are listed, or it has ended
-	loaded  bool          // results that were listed before this term are in
+	step        *Step
+	ended       bool
+	groups      map[string]*groupRow
+	items       []*itemRow
+	chunks      int // that are listed
+	checkpoints int // that are kept
+	results     []Result
+	changed     chan struct{} // closed when results are listed
+	idle        bool          // all items are listed, or it has ended
+	loaded      bool          // results that were listed before this term are in
 }
 
 // An engineRow is an engine and the attendant beside it.
@@ -99,7 +101,8 @@
 // A Table holds the steps that are open and the engines that run them. Its
 // systems decide; what they decide is read off the rows. NewTable makes one.
 type Table struct {
-	attempt uint64 // of the newest run
+	attempt uint64    // of the newest run
+	begun   time.Time // of placing
 	engines map[string]*engineRow
 	sorted  []*engineRow // engines by ID, so that equal loads are decided equally
 	rank    func(en *engineRow, ir *itemRow, now time.Time) float64
@@ -109,12 +112,14 @@
 	lengths map[string]int
 	// reuse keeps the text of items of ended steps, since their groups may
 	// come again in a later step.
-	reuse map[string]*itemRow
-	steps map[string]*stepRow
-	order []*stepRow        // open steps by acceptance
-	named map[string]uint64 // newest version of each model
-	log   func(event string, fields map[string]any)
-	paces map[string]time.Duration // of the median engine, by service
+	reuse   map[string]*itemRow
+	steps   map[string]*stepRow
+	order   []*stepRow        // open steps by acceptance
+	named   map[string]uint64 // newest version of each model
+	log     func(event string, fields map[string]any)
+	garbage []string                 // keys to remove
+	savedAt time.Time                // of the last checkpoint
+	paces   map[string]time.Duration // of the median engine, by service
 }
 
 // attemptBits is the part of an attempt's number that counts within an epoch.
@@ -135,21 +140,27 @@
 	return ta
 }
 
-// Accept adds a step with what is listed of it.
-func (ta *Table) Accept(st *Step, listed [][]Result, ended bool, now time.Time) {
+// A Kept is what earlier schedulers kept of a step.
+type Kept struct {
+	Checkpoints []Checkpoint
+	Listed      [][]Result
+}
+
+// Accept adds a step with what is kept of it.
+func (ta *Table) Accept(st *Step, ke Kept, ended bool, now time.Time) {
 	if _, ok := ta.steps[st.ID]; ok {
 		return
 	}
 	sr := &stepRow{step: st, ended: ended, groups: map[string]*groupRow{}, changed: make(chan struct{}), idle: ended}
 	ta.steps[st.ID] = sr
 	positions := map[string]bool{}
-	for _, chunk := range listed {
+	for _, chunk := range ke.Listed {
 		sr.results = append(sr.results, chunk...)
 		for _, re := range chunk {
 			positions[re.Item] = true
 		}
 	}
-	sr.chunks = len(listed)
+	sr.chunks = len(ke.Listed)
 	if ended {
 		return
 	}
@@ -170,6 +181,7 @@
 		}
 		ta.takeOver(ir, now)
 	}
+	sr.restore(ke.Checkpoints)
 	ta.order = append(ta.order, sr)
 	slices.SortStableFunc(ta.order, func(a, b *stepRow) int { return a.step.Accepted.Compare(b.step.Accepted) })
 	ta.log("step accepted", map[string]any{
@@ -228,6 +240,9 @@
 			ta.lengths[ir.item.ID] = max(ta.lengths[ir.item.ID], len(ir.events))
 		}
 	}
+	for number := range sr.checkpoints {
+		ta.garbage = append(ta.garbage, checkpointKey(id, number))
+	}
 	sr.wake()
 	sr.items, sr.groups = nil, nil
 	ta.order = slices.DeleteFunc(ta.order, func(other *stepRow) bool { return other == sr })
