--- a/step/pace.go
+++ b/step/pace.go
@@ -135,7 +135,7 @@
 func (ta *Table) target(ir *itemRow, from *engineRow, now time.Time) *engineRow {
 	var best *engineRow
 	for _, en := range ta.sorted {
-		if en == from || en.slow(now) || !ta.usable(en, ir) || en.free() <= sparePlaces {
+		if en == from || en.slow(now) || !ta.usable(en, ir) || en.free() <= sparePlaces || !en.fits(ir) {
 			continue
 		}
 		if !from.stalled(ir, now) && gain(ir, from, en) < moveCost {
--- a/step/place.go
+++ b/step/place.go
@@ -13,8 +13,7 @@
 	// matePlaces is by how many more taken places an engine may still be
 	// preferred because it runs items of the same group, whose prompt it holds.
 	matePlaces = 3
-	// memoryPart is the part of an engine's memory that is filled with what is
-	// expected. Beyond it, engines stop the newest request and read it again.
+	// memoryPart is the part of an engine's memory that is filled.
 	memoryPart = 0.9
 	// expectedPart is the part of its token bound that an item without a hint
 	// is expected to use.
@@ -51,18 +50,51 @@
 	return true
 }
 
-// memoryFree returns how much of an engine's memory is expected to stay free.
-func (en *engineRow) memoryFree() int {
-	if en.tokens == 0 {
-		return int(^uint(0) >> 1)
-	}
-	used := 0
+// holds returns how many tokens an item holds now, and is expected to hold at
+// its end.
+func (ir *itemRow) holds() (now, end int) {
+	now = ir.item.Prompt + len(ir.events)*eventTokens
+	return now, now + ir.left()
+}
+
+// memory returns how many tokens an engine holds now, and would hold if all of
+// its runs came to their expected ends.
+func (en *engineRow) memory() (now, end int) {
 	for _, ir := range en.items {
-		used += ir.item.Prompt + ir.item.expected()
+		itNow, itEnd := ir.holds()
+		now += itNow
+		end += itEnd
+	}
+	return max(now, en.report.Tokens), end
+}
+
+// fits reports whether an engine has memory for an item now. Beyond it, the
+// engine stops its newest request and reads it again later.
+func (en *engineRow) fits(ir *itemRow) bool {
+	if en.tokens == 0 || len(en.items) == 0 {
+		return true
 	}
-	return int(memoryPart*float64(en.tokens)) - max(used, en.report.Tokens)
+	now, _ := en.memory()
+	added, _ := ir.holds()
+	return float64(now+added) <= memoryPart*float64(en.tokens)
 }
 
+// crowding returns what an engine's memory costs an item, in places: not all
+// runs come to their ends at once, so that more may be expected than there is,
+// but long items do better where little is. Were it a bound instead, a long
+// item would wait for seconds while short ones took what became free.
+func (en *engineRow) crowding(ir *itemRow) float64 {
+	if en.tokens == 0 {
+		return 0
+	}
+	_, end := en.memory()
+	_, added := ir.holds()
+	return crowdingPlaces * max(0, float64(end+added)/float64(en.tokens)-1)
+}
+
+// crowdingPlaces is how many free places an engine's whole memory is worth.
+const crowdingPlaces = 24
+
 // Place gives waiting items places at engines.
 //
 // Load pattern: a step's items all come at once and take all places for a
@@ -153,7 +185,7 @@
 	var best *engineRow
 	bestScore := 0.0
 	for _, en := range ta.sorted {
-		if en.free() <= 0 || !ta.usable(en, ir) || len(en.items) > 0 && en.memoryFree() < ir.item.Prompt+ir.item.expected() {
+		if en.free() <= 0 || !ta.usable(en, ir) || !en.fits(ir) {
 			continue
 		}
 		if en.id == ir.unwanted && now.Sub(ir.since) < againAfter {
@@ -182,7 +214,7 @@
 	if en.slow(now) {
 		score -= float64(2 * en.slots)
 	}
-	return score - ta.paceCost(en, ir)
+	return score - ta.paceCost(en, ir) - en.crowding(ir)
 }
 
 // paceCost is what an engine's pace costs an item, in places.
@@ -206,11 +238,8 @@
 
 // context returns how many tokens an engine's runs are expected to hold.
 func (en *engineRow) context() int {
-	tokens := 0
-	for _, ir := range en.items {
-		tokens += ir.item.Prompt + len(ir.events)*eventTokens + ir.left()/2
-	}
-	return tokens
+	now, end := en.memory()
+	return (now + end) / 2
 }
 
 const (
--- a/step/replay_test.go
+++ b/step/replay_test.go
@@ -45,6 +45,7 @@
 
 const (
 	simSlots       = 12
+	simTokens      = 46422
 	simEventTokens = 64
 	simTick        = 50 * time.Millisecond
 	simLoad        = 900 * time.Millisecond
@@ -95,10 +96,15 @@
 		return
 	}
 	events := float64(simTick) / float64(se.pace())
-	for _, ru := range se.runs {
+	held := 0.0
+	for _, ru := range se.order {
 		if ru.state != runner.Running {
 			continue
 		}
+		// Out of memory, the newest runs wait until older ones have ended.
+		if held += 271 + (float64(len(ru.launch.Prior))+ru.made)*simEventTokens; held > simTokens {
+			continue
+		}
 		ru.made += events
 		prior := len(ru.launch.Prior)
 		for len(ru.events) < prior+int(ru.made) && len(ru.events) < ru.length {
@@ -292,7 +298,7 @@
 		var infos []EngineInfo
 		for _, se := range re.engines {
 			se.advance(re.now)
-			infos = append(infos, EngineInfo{ID: se.id, Service: "service", Slots: simSlots, Tokens: 46422})
+			infos = append(infos, EngineInfo{ID: se.id, Service: "service", Slots: simSlots, Tokens: simTokens})
 		}
 		ta := re.table
 		ta.SetEngines(infos, re.now)
