lease, step: replace a dead scheduler at once; try a step before refusing it

A step that came in the outage was refused twice within 0.3 s, and lost. Now a scheduler that can't be reached, and that no attendant has heard from for 1.2 s, is replaced; the fence makes a mistake harmless. An entry tries a step for 3.5 s. Ruled out: the renewal's own bounds (the key was there all the while).

--- a/cmd/platformattendantcmd.go
+++ b/cmd/platformattendantcmd.go
@@ -10,6 +10,7 @@
 	"wisteriacroft/peer"
 	"wisteriacroft/platform"
 	"wisteriacroft/runner"
+	"wisteriacroft/step"
 )
 
 // A PlatformAttendantCmd runs an attendant on the platform.
@@ -36,6 +37,10 @@
 		func(ctx context.Context, _ message.Header, rq runner.ExchangeRequest) (runner.ExchangeResponse, error) {
 			return rn.Exchange(ctx, rq)
 		})
+	peer.Handle(&ps, runner.WitnessMethod,
+		func(context.Context, message.Header, step.Empty) (runner.WitnessResponse, error) {
+			return rn.Witness(), nil
+		})
 	background(lc, rn.Run)
 	ho.serveMetrics(lc)
 	ho.servePeers(lc, &ps)
--- a/cmd/platformentrycmd.go
+++ b/cmd/platformentrycmd.go
@@ -21,10 +21,9 @@
 	linger = 3500 * time.Millisecond
 	// drainEvery is how often a stopping entry looks whether it is idle.
 	drainEvery = 50 * time.Millisecond
-	// stepRetry is when a trainer may come back whose step was refused: an
-	// outage of the key-value service takes seconds, and another entry may
-	// reach it at once.
-	stepRetry = 300 * time.Millisecond
+	// stepRetry is when a trainer may come back whose step was refused: the
+	// entry has tried for seconds, and another may reach the service.
+	stepRetry = time.Second
 	// expireEvery is how often what concerns endpoints that are gone is closed.
 	expireEvery = time.Second
 	// attemptRatio and attemptBurst bound attempts beyond the first: one for
--- a/cmd/platformschedulercmd.go
+++ b/cmd/platformschedulercmd.go
@@ -46,6 +46,7 @@
 		Keep: ho.settings.KeepResults, Keeper: &step.Keeper{Client: ho.store}, Log: ho.log, Metrics: ho.metrics,
 		PeerPort: ho.settings.PeerPort, Pool: ho.pool,
 	}
+	sc.Holder.SuspectFunc = sc.Suspect
 	var ps peer.Server
 	sc.Register(&ps)
 	fo := ho.follower()
--- a/lease/fence_test.go
+++ b/lease/fence_test.go
@@ -85,3 +85,42 @@
 		assert.Equal(t, standing(ho), Held)
 	})
 }
+
+func TestSuccessorOfADeadHolder(t *testing.T) {
+	// Symptom: nobody holds the name for seconds after its holder has died.
+	// Sequence: the holder dies; its lease lives on, and longer while the service
+	// is away; others can tell that it is dead.
+	// Cause: only the end of the lease let another in.
+	for name, tc := range map[string]struct {
+		owner   string
+		suspect func(owner string) bool
+		epoch   uint64
+	}{
+		"nobody can tell":          {owner: "b", epoch: 0},
+		"others can tell":          {owner: "b", suspect: func(owner string) bool { return owner == "a" }, epoch: 2},
+		"they say that it is well": {owner: "b", suspect: func(string) bool { return false }, epoch: 0},
+		"it starts again itself":   {owner: "a", epoch: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var me keyvalue.Memory
+				first, second := holder(me.Client(), "a"), holder(me.Client(), tc.owner)
+				second.SuspectFunc = tc.suspect
+				first.Step(t.Context())
+				second.Step(t.Context())
+				assert.Equal(t, held(second), tc.epoch)
+				if tc.epoch == 0 {
+					return
+				}
+				assert.Assert(t, errors.Is(fenced(t, first, "written"), keyvalue.ErrConflict), "by the first")
+				assert.NilError(t, fenced(t, second, "written"))
+				for range 6 { // the first lease ends, and must not take the key along
+					time.Sleep(ttl / renewals)
+					second.Step(t.Context())
+				}
+				assert.NilError(t, fenced(t, second, "written again"))
+				assert.Equal(t, held(second), tc.epoch)
+			})
+		})
+	}
+}
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -50,7 +50,12 @@
 	Log    *logrus.Entry // optional
 	Name   string
 	Owner  string // address that others reach the holder by
-	TTL    time.Duration
+	// SuspectFunc reports whether the process at an owner's address is surely
+	// dead, so that the name need not stay free until its lease ends. A mistake
+	// costs a change of holder and no more: the fence of the one before fails.
+	// Nil never does.
+	SuspectFunc func(owner string) bool
+	TTL         time.Duration
 
 	mu       sync.Mutex // guards grant, and stepping until it is made
 	grant    grant
@@ -269,7 +274,11 @@
 func (ho *Holder) acquire(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, ho.TTL)
 	defer cancel()
-	if _, err := Current(ctx, ho.Client, ho.Name); !errors.Is(err, keyvalue.ErrNotFound) {
+	now, ve, err := read(ctx, ho.Client, leaseKey(ho.Name))
+	switch {
+	case errors.Is(err, keyvalue.ErrNotFound):
+		ve = 0
+	case err != nil || !ho.abandoned(now):
 		return // held by another, or the service is not to be reached
 	}
 	sent := time.Now()
@@ -281,7 +290,7 @@
 	gr := grant{id: uuid.NewString(), lease: id, until: ho.expiry(sent)}
 	gr.epoch, err = raise(ctx, ho.Client, ho.Name, gr.id, ho.highest)
 	if err == nil {
-		gr.fence, err = ho.take(ctx, gr)
+		gr.fence, err = ho.take(ctx, gr, ve)
 	}
 	if err == nil {
 		err = confirm(ctx, ho.Client, ho.Name, gr)
@@ -296,11 +305,21 @@
 	ho.log("took the lease", gr.epoch, nil)
 }
 
-// take writes the key of the lease and returns its version. A lost answer is
-// settled by reading.
-func (ho *Holder) take(ctx context.Context, gr grant) (int64, error) {
+// abandoned reports whether the holder that a record names is gone, though its
+// lease goes on: this process had the name before it started again, or others
+// know that the holder is dead.
+func (ho *Holder) abandoned(rec Record) bool {
+	if rec.Owner == ho.Owner {
+		return true
+	}
+	return ho.SuspectFunc != nil && ho.SuspectFunc(rec.Owner)
+}
+
+// take writes the key of the lease, which is at version expected, and returns
+// its new version. A lost answer is settled by reading.
+func (ho *Holder) take(ctx context.Context, gr grant, expected int64) (int64, error) {
 	rec := Record{Epoch: gr.epoch, ID: gr.id, Owner: ho.Owner}
-	ve, err := ho.Client.Put(ctx, leaseKey(ho.Name), encode(rec), 0, gr.lease)
+	ve, err := ho.Client.Put(ctx, leaseKey(ho.Name), encode(rec), expected, gr.lease)
 	if !unknown(err) {
 		return ve, err
 	}
--- a/runner/message.go
+++ b/runner/message.go
@@ -114,3 +114,12 @@
 	ReportAge time.Duration
 	Runs      []Progress
 }
+
+// WitnessMethod asks an attendant when the scheduler last called it.
+const WitnessMethod = "runner.Witness"
+
+// A WitnessResponse says when the scheduler last called.
+type WitnessResponse struct {
+	Epoch uint64
+	Since time.Duration // since the last call, or since the attendant's start
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -54,6 +54,7 @@
 	Log     *logrus.Entry
 	Metrics *metrics.Set
 
+	begun    time.Time
 	boot     string
 	engine   string // that answered for another one
 	kick     chan struct{}
@@ -106,6 +107,7 @@
 
 func (rn *Runner) init() {
 	if rn.runs == nil {
+		rn.begun = time.Now()
 		rn.boot = uuid.NewString()
 		rn.kick = make(chan struct{}, 1)
 		rn.root = context.Background()
@@ -141,6 +143,17 @@
 	return rn.response(), nil
 }
 
+// Witness says when the scheduler last called.
+func (rn *Runner) Witness() WitnessResponse {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	since := rn.lastCall
+	if since.IsZero() {
+		since = rn.begun
+	}
+	return WitnessResponse{Epoch: rn.epoch, Since: time.Since(since)}
+}
+
 // take applies a request.
 func (rn *Runner) take(rq ExchangeRequest) error {
 	rn.mu.Lock()
--- a/step/door.go
+++ b/step/door.go
@@ -18,8 +18,10 @@
 	// writeTimeout bounds one write of a step or its end. The service answers
 	// within 4 ms as a rule, and some 60 times slower at times.
 	writeTimeout = 800 * time.Millisecond
-	// acceptTime is how long an entry tries to find out whether a step that it
-	// wrote is kept, before it answers that it doesn't know.
+	// acceptTime is how long an entry tries to keep a step before it answers
+	// that it can't, or doesn't know. A trainer has nothing else to do meanwhile
+	// and comes again only once; outages of the service last 4 to 7 s, which two
+	// such times and the pause between them outlast.
 	acceptTime = 3500 * time.Millisecond
 	// askTimeout bounds a question to the scheduler beyond the wait it asks for.
 	askTimeout = 1200 * time.Millisecond
@@ -57,10 +59,13 @@
 		switch {
 		case err == nil:
 			return nil
-		case !unsure:
-			return errors.Wrap(keyvalue.ErrUnavailable, err.Error())
-		case ctx.Err() != nil:
+		case errors.Is(err, ErrTooManyParts):
+			return err
+		case ctx.Err() == nil:
+		case unsure:
 			return errors.Wrap(keyvalue.ErrOutcomeUnknown, err.Error())
+		default:
+			return errors.Wrap(keyvalue.ErrUnavailable, err.Error())
 		}
 		pause(ctx, retryAfter)
 	}
--- a/step/scheduler.go
+++ b/step/scheduler.go
@@ -74,7 +74,8 @@
 
 	cancelHolder context.CancelFunc
 	mu           sync.Mutex
-	term         *term // nil while another runs the steps
+	replacedAt   time.Time // a term ended before this process did
+	term         *term     // nil while another runs the steps
 }
 
 // A term is the time for which a scheduler holds the lease under one epoch.
@@ -89,6 +90,7 @@
 
 // Register registers the scheduler's methods.
 func (sc *Scheduler) Register(sv *peer.Server) {
+	registerPing(sv)
 	peer.Handle(sv, acceptMethod, func(ctx context.Context, _ message.Header, st Step) (Empty, error) {
 		return Empty{}, sc.Keeper.Accept(ctx, &st)
 	})
@@ -151,6 +153,7 @@
 		sc.Log.WithField("epoch", sc.term.epoch).Warn("no longer the scheduler")
 		sc.term.cancel()
 		sc.term = nil
+		sc.replacedAt = time.Now()
 	}
 	if sc.term != nil || epoch == 0 {
 		return
@@ -239,13 +242,18 @@
 	}
 }
 
-func (sc *Scheduler) engineInfo(en directory.Endpoint, se directory.Service) EngineInfo {
+// attendantOf returns the address of the attendant beside an engine.
+func (sc *Scheduler) attendantOf(en directory.Endpoint) string {
 	host, _, err := net.SplitHostPort(en.Address)
 	if err != nil {
 		host = en.Address
 	}
+	return net.JoinHostPort(host, strconv.Itoa(sc.PeerPort))
+}
+
+func (sc *Scheduler) engineInfo(en directory.Endpoint, se directory.Service) EngineInfo {
 	in := EngineInfo{
-		Address: net.JoinHostPort(host, strconv.Itoa(sc.PeerPort)), Domain: en.Domain, ID: en.ID, Leaving: en.Leaving,
+		Address: sc.attendantOf(en), Domain: en.Domain, ID: en.ID, Leaving: en.Leaving,
 		Service: en.Service, Slots: en.Slots, Tokens: se.Tokens, Versions: map[string]uint64{},
 	}
 	if in.Slots == 0 {
