--- a/directory/follower.go
+++ b/directory/follower.go
@@ -166,6 +166,8 @@
 	}
 }
 
+// applyEndpoints applies changes in the order in which they were made: the last
+// word on an endpoint counts.
 func (fo *Follower) applyEndpoints(its []keyvalue.Item, whole bool) {
 	var ens []Endpoint
 	now := time.Now()
@@ -181,15 +183,12 @@
 			fo.Log.WithError(err).WithField("endpoint", id).Error("endpoint's entry does not decode")
 			continue
 		}
-		ens = append(ens, en)
 		fo.logEndpoint(en, it.Version)
+		fo.Directory.SetEndpoint(en)
+		ens = append(ens, en)
 	}
 	if whole {
 		fo.Directory.SetEndpoints(ens, now)
-		return
-	}
-	for _, en := range ens {
-		fo.Directory.SetEndpoint(en)
 	}
 }
 
--- /dev/null
+++ b/directory/follower_test.go
@@ -0,0 +1,123 @@
+package directory
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"wisteriacroft/keyvalue"
+)
+
+func source() Source {
+	return Source{
+		ConfigurationKey: "op/config", EndpointPrefix: "servers/", OperatorPrefix: "op/", VersionPrefix: "op/version/",
+		DecodeConfigurationFunc: func(value []byte) (*Configuration, error) {
+			co := &Configuration{}
+			return co, json.Unmarshal(value, co)
+		},
+		DecodeEndpointFunc: func(id string, value []byte) (Endpoint, error) {
+			en := Endpoint{ID: id}
+			return en, json.Unmarshal(value, &en)
+		},
+		DecodeVersionFunc: func(value []byte) (string, uint64, error) {
+			return "model", uint64(len(value)), nil
+		},
+	}
+}
+
+// follow runs a follower of a service until the test's bubble ends it.
+func follow(ctx context.Context, me *keyvalue.Memory) *Directory {
+	logger := logrus.New()
+	logger.SetLevel(logrus.PanicLevel)
+	fo := &Follower{Client: me.Client(), Directory: &Directory{}, Log: logrus.NewEntry(logger), Source: source()}
+	go fo.Run(ctx)
+	return fo.Directory
+}
+
+func put(t *testing.T, me *keyvalue.Memory, key, value string) {
+	t.Helper()
+	it, _ := me.Client().Get(t.Context(), key)
+	_, err := me.Client().Put(t.Context(), key, []byte(value), it.Version, 0)
+	assert.NilError(t, err)
+}
+
+func remove(t *testing.T, me *keyvalue.Memory, key string) {
+	t.Helper()
+	it, err := me.Client().Get(t.Context(), key)
+	assert.NilError(t, err)
+	assert.NilError(t, me.Client().Delete(t.Context(), key, it.Version))
+}
+
+func TestChangesOfOneEndpointStayInOrder(t *testing.T) {
+	// Symptom: an endpoint that has left gets work until it is gone, seconds later.
+	// Sequence: its entry changes and is removed while the follower pauses, so
+	// that both changes come in one answer.
+	// Cause: removals were applied first, and the change brought the entry back.
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var me keyvalue.Memory
+		put(t, &me, "servers/a", `{"Service":"desk"}`)
+		di := follow(ctx, &me)
+		time.Sleep(followPause + time.Millisecond)
+		put(t, &me, "servers/b", `{"Service":"desk"}`) // starts a pause
+		time.Sleep(time.Millisecond)
+		put(t, &me, "servers/a", `{"Service":"desk","Slots":2}`)
+		remove(t, &me, "servers/a")
+		time.Sleep(2 * followPause)
+		assert.Assert(t, !known(di, "a"))
+		assert.Assert(t, known(di, "b"))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestLostHistory(t *testing.T) {
+	// Symptom: requests go to an endpoint that has left.
+	// Sequence: its entry is removed, and the service drops its history before
+	// the follower has asked for it.
+	// Cause: a follower that only goes on from now on never hears of it.
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var me keyvalue.Memory
+		put(t, &me, "servers/a", `{"Service":"desk"}`)
+		put(t, &me, "op/config", `{"Version":3}`)
+		di := follow(ctx, &me)
+		time.Sleep(time.Millisecond)
+		remove(t, &me, "servers/a")
+		put(t, &me, "op/config", `{"Version":5}`)
+		me.Forget()
+		time.Sleep(2 * followPause)
+		assert.Assert(t, !known(di, "a"))
+		assert.Equal(t, di.Configuration().Version, int64(5))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestConfigurationThatDoesNotDecode(t *testing.T) {
+	// Symptom: every request is refused.
+	// Sequence: operators write a configuration that this version can't read.
+	// Cause: the one in force was given up for it.
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var me keyvalue.Memory
+		put(t, &me, "op/config", `{"Version":3}`)
+		di := follow(ctx, &me)
+		time.Sleep(time.Millisecond)
+		put(t, &me, "op/config", `{"Version":`)
+		put(t, &me, "op/version/model", "1234")
+		time.Sleep(time.Second)
+		assert.Equal(t, di.Configuration().Version, int64(3))
+		assert.DeepEqual(t, di.Versions(), map[string]uint64{"model": 4})
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/keyvalue/memory.go
+++ b/keyvalue/memory.go
@@ -42,9 +42,10 @@
 	deleted map[string]int64
 
 	forgotten int64 // no history is held before this version
-	lastID  LeaseID
-	leases  map[LeaseID]memoryLease
-	version int64
+	history   []Item
+	lastID    LeaseID
+	leases    map[LeaseID]memoryLease
+	version   int64
 }
 
 // Client returns a Client of the service.
@@ -137,6 +138,7 @@
 	me.version++
 	delete(me.items, key)
 	me.deleted[key] = me.version
+	me.record(Item{Key: key, Version: me.version})
 	me.wake()
 }
 
@@ -200,6 +202,7 @@
 		Value:   append([]byte{}, value...),
 		Version: me.version,
 	}
+	me.record(me.items[key])
 	me.wake()
 	return me.version, me.outcome()
 }
--- a/keyvalue/memorytransaction.go
+++ b/keyvalue/memorytransaction.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"strings"
 	"time"
 )
@@ -24,13 +23,14 @@
 	}
 	me.version++
 	for _, wr := range tx.Writes {
-		me.items[wr.Key] = Item{
-			Key: wr.Key, Lease: wr.Lease, Value: append([]byte{}, wr.Value...), Version: me.version,
-		}
+		it := Item{Key: wr.Key, Lease: wr.Lease, Value: append([]byte{}, wr.Value...), Version: me.version}
+		me.items[wr.Key] = it
+		me.record(it)
 	}
 	for _, key := range tx.Deletes {
 		delete(me.items, key)
 		me.deleted[key] = me.version
+		me.record(Item{Key: key, Version: me.version})
 	}
 	me.wake()
 	return me.version, me.outcome()
@@ -85,25 +85,31 @@
 	return nil
 }
 
-// changesAfter returns what changed under a prefix after a version, in order.
+// changesAfter returns each change under a prefix after a version, in order.
 // The caller holds mu.
 func (me *Memory) changesAfter(prefix string, after int64) []Item {
 	var its []Item
-	for key, it := range me.items {
-		if strings.HasPrefix(key, prefix) && it.Version > after {
+	for _, it := range me.history {
+		if strings.HasPrefix(it.Key, prefix) && it.Version > after {
 			its = append(its, it)
 		}
 	}
-	for key, ve := range me.deleted {
-		_, exists := me.items[key]
-		if strings.HasPrefix(key, prefix) && ve > after && !exists {
-			its = append(its, Item{Key: key, Version: ve})
-		}
-	}
-	sort.Slice(its, func(i, j int) bool { return its[i].Version < its[j].Version })
 	return its
 }
 
+// record adds a change to the history, of which the newest are held. The
+// caller holds mu.
+func (me *Memory) record(it Item) {
+	me.history = append(me.history, it)
+	if drop := len(me.history) - maxHistory; drop > 0 {
+		me.forgotten = me.history[drop-1].Version
+		me.history = append([]Item(nil), me.history[drop:]...)
+	}
+}
+
+// maxHistory is how many changes are held for those who follow.
+const maxHistory = 4096
+
 // Forget drops the history, so that whoever follows from an older version has
 // to scan again.
 func (me *Memory) Forget() {
