--- /dev/null
+++ b/step/keep_test.go
@@ -0,0 +1,172 @@
+package step
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"wisteriacroft/keyvalue"
+	"wisteriacroft/peer"
+)
+
+func quiet() *logrus.Entry {
+	logger := logrus.New()
+	logger.SetLevel(logrus.PanicLevel)
+	return logrus.NewEntry(logger)
+}
+
+func TestAcceptOnce(t *testing.T) {
+	var me keyvalue.Memory
+	ke := &Keeper{Client: me.Client()}
+	large := stepOf("s", 3)
+	for i := range large.Items {
+		large.Items[i].Body = make([]byte, partSize) // more than one value holds
+	}
+	assert.NilError(t, ke.Accept(t.Context(), large))
+	assert.NilError(t, ke.Accept(t.Context(), large))
+	st, err := ke.Load(t.Context(), "s")
+	assert.NilError(t, err)
+	assert.Equal(t, len(st.Items), 3)
+	assert.Equal(t, len(st.Items[2].Body), partSize)
+	_, err = ke.Load(t.Context(), "other")
+	assert.Assert(t, errors.Is(err, ErrUnknownStep))
+}
+
+func TestTooLargeStep(t *testing.T) {
+	var me keyvalue.Memory
+	st := stepOf("s", 40)
+	for i := range st.Items {
+		st.Items[i].Body = make([]byte, partSize)
+	}
+	err := (&Keeper{Client: me.Client()}).Accept(t.Context(), st)
+	assert.Assert(t, errors.Is(err, ErrTooManyParts))
+}
+
+func TestUpdateIsAppliedOnce(t *testing.T) {
+	// Symptom: an item stands at two positions.
+	// Sequence: results are written, the answer is lost, they are written again.
+	// Cause: the repeat was taken for other results, at the next positions.
+	var me keyvalue.Memory
+	ke := &Keeper{Client: me.Client()}
+	fence := keyvalue.Expectation{Key: "lease"}
+	up := Update{Chunks: []Chunk{{Step: "s", Results: []Result{{Item: "a", Text: []byte("x"), Versions: []uint64{1}}}}}}
+	for range 2 {
+		done, err := ke.Write(t.Context(), fence, up)
+		assert.NilError(t, err)
+		assert.Assert(t, done)
+	}
+	listed, err := ke.Listed(t.Context(), "s")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, listed, [][]Result{up.Chunks[0].Results})
+}
+
+func TestOldSchedulerCannotWrite(t *testing.T) {
+	// Symptom: a position changes after it was read.
+	// Sequence: a scheduler's write is delayed past its lease; its successor has
+	// written other results at the same position.
+	// Cause: the write did not depend on the lease.
+	var me keyvalue.Memory
+	ke := &Keeper{Client: me.Client()}
+	_, err := me.Client().Put(t.Context(), "lease", []byte("successor"), 0, 0)
+	assert.NilError(t, err)
+	up := Update{Chunks: []Chunk{{Step: "s", Results: []Result{{Item: "a"}}}}}
+	done, err := ke.Write(t.Context(), keyvalue.Expectation{Key: "lease", Version: 7}, up)
+	assert.Assert(t, !done)
+	assert.Assert(t, errors.Is(err, keyvalue.ErrConflict))
+}
+
+func TestDropRemovesAll(t *testing.T) {
+	var me keyvalue.Memory
+	ke := &Keeper{Client: me.Client()}
+	assert.NilError(t, ke.Accept(t.Context(), stepOf("s", 1)))
+	assert.NilError(t, ke.End(t.Context(), "s"))
+	assert.NilError(t, ke.End(t.Context(), "s"))
+	_, err := ke.Write(t.Context(), keyvalue.Expectation{Key: "lease"}, Update{
+		Checkpoints: []Checkpoint{{Step: "s", Partials: []Partial{{Item: "a"}}}},
+		Chunks:      []Chunk{{Step: "s", Results: []Result{{Item: "a"}}}},
+	})
+	assert.NilError(t, err)
+	assert.NilError(t, ke.Drop(t.Context(), "s"))
+	left, err := me.Client().List(t.Context(), "")
+	assert.NilError(t, err)
+	assert.Equal(t, len(left), 0)
+}
+
+func TestAcceptAnswers(t *testing.T) {
+	// Symptom: a step runs that its trainer was told would not.
+	// Sequence: the service is away, or loses answers, while a step is handed in.
+	// Cause: a write without an answer was taken for one that failed.
+	for _, tc := range []struct {
+		name   string
+		faults func(me *keyvalue.Memory)
+		want   error
+		least  time.Duration // until the answer
+	}{
+		{"service is there", func(*keyvalue.Memory) {}, nil, 0},
+		{"answers are lost", func(me *keyvalue.Memory) { me.SetFaults(keyvalue.Faults{LoseAnswers: true}) }, nil, 0},
+		{
+			"service comes back", func(me *keyvalue.Memory) {
+				me.SetFaults(keyvalue.Faults{Outage: true})
+				time.AfterFunc(2*time.Second, func() { me.SetFaults(keyvalue.Faults{}) })
+			}, nil, 2 * time.Second,
+		},
+		{
+			"service stays away", func(me *keyvalue.Memory) { me.SetFaults(keyvalue.Faults{Outage: true}) },
+			keyvalue.ErrUnavailable, acceptTime,
+		},
+		{
+			"service is too slow to tell", func(me *keyvalue.Memory) { me.SetFaults(keyvalue.Faults{Delay: time.Minute}) },
+			keyvalue.ErrOutcomeUnknown, acceptTime,
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var me keyvalue.Memory
+				tc.faults(&me)
+				do := &Door{Keeper: &Keeper{Client: me.Client()}, Log: quiet(), Pool: &peer.Pool{}}
+				begun := time.Now()
+				err := do.Accept(t.Context(), stepOf("s", 1))
+				took := time.Since(begun)
+				if tc.want == nil {
+					assert.NilError(t, err)
+				} else {
+					assert.Assert(t, errors.Is(err, tc.want), "%v", err)
+				}
+				assert.Assert(t, took >= tc.least && took <= tc.least+2*time.Second, "%s", took)
+			})
+		})
+	}
+}
+
+func TestReadsWithoutAScheduler(t *testing.T) {
+	// Symptom: a reader is told that its step does not exist.
+	// Sequence: the scheduler is gone and no other has taken over yet.
+	// Cause: what no scheduler knows was taken for what does not exist.
+	synctest.Test(t, func(t *testing.T) {
+		var me keyvalue.Memory
+		ke := &Keeper{Client: me.Client()}
+		do := &Door{Keeper: ke, Log: quiet(), Pool: &peer.Pool{}}
+		assert.NilError(t, ke.Accept(t.Context(), stepOf("s", 2)))
+		_, err := ke.Write(t.Context(), keyvalue.Expectation{Key: "lease"}, Update{
+			Chunks: []Chunk{{Step: "s", Results: []Result{{Item: "a"}}}},
+		})
+		assert.NilError(t, err)
+		li, err := do.Read(t.Context(), ReadRequest{ID: "s"})
+		assert.NilError(t, err)
+		assert.Equal(t, li.Total, 2)
+		assert.Equal(t, len(li.Results), 1)
+		re, err := do.Body(t.Context(), BodyRequest{Item: "s-0-1", Step: "s"})
+		assert.NilError(t, err)
+		assert.Equal(t, string(re.Body), "body")
+		_, err = do.Read(t.Context(), ReadRequest{ID: "other"})
+		assert.Assert(t, errors.Is(err, ErrUnknownStep))
+		me.SetFaults(keyvalue.Faults{Outage: true})
+		_, err = do.Read(t.Context(), ReadRequest{ID: "other"})
+		assert.Assert(t, err != nil && !errors.Is(err, ErrUnknownStep), "%v", err)
+	})
+}
+
