--- /dev/null
+++ b/forward/forwarder_test.go
@@ -0,0 +1,330 @@
+package forward
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"wisteriacroft/directory"
+	"wisteriacroft/retry"
+)
+
+var headers = Headers{
+	Deadline: "Deadline", EndpointID: "Endpoint", Expect: "Expected-Endpoint", LastEvent: "Last-Event", Load: "Load",
+	NotRun: "Not-Run", RequestID: "Request-Id", Signature: "Signature",
+}
+
+// A deployment is an entry before endpoints that behave as told.
+type deployment struct {
+	entry     *httptest.Server
+	forwarder *Forwarder
+	runs      atomic.Int64 // requests that endpoints ran
+}
+
+// behaviour answers a request at an endpoint; run counts it as run.
+type behaviour func(rw http.ResponseWriter, rq *http.Request, run func())
+
+func whole(rw http.ResponseWriter, rq *http.Request, run func()) {
+	run()
+	sign(rw, rq)
+	body, _ := io.ReadAll(rq.Body)
+	_, _ = fmt.Fprintf(rw, "%s %s %s", rq.Method, rq.URL.RequestURI(), body)
+}
+
+func sign(rw http.ResponseWriter, rq *http.Request) {
+	rw.Header().Set(headers.RequestID, rq.Header.Get(headers.RequestID))
+	rw.Header().Set(headers.Signature, "signed")
+}
+
+func full(rw http.ResponseWriter, rq *http.Request, _ func()) {
+	sign(rw, rq)
+	rw.Header().Set(headers.NotRun, "1")
+	rw.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func another(rw http.ResponseWriter, rq *http.Request, _ func()) {
+	rw.Header().Set(headers.RequestID, rq.Header.Get(headers.RequestID))
+	rw.WriteHeader(http.StatusMisdirectedRequest)
+}
+
+func failing(rw http.ResponseWriter, rq *http.Request, run func()) {
+	run()
+	sign(rw, rq)
+	rw.WriteHeader(http.StatusInternalServerError)
+	_, _ = io.WriteString(rw, "failed")
+}
+
+func cutShort(rw http.ResponseWriter, rq *http.Request, run func()) {
+	run()
+	sign(rw, rq)
+	rw.Header().Set("Content-Length", "100")
+	_, _ = io.WriteString(rw, "half")
+}
+
+func crossed(rw http.ResponseWriter, rq *http.Request, run func()) {
+	run()
+	sign(rw, rq)
+	rw.Header().Set(headers.RequestID, "another")
+	_, _ = io.WriteString(rw, "another's answer")
+}
+
+func unsigned(rw http.ResponseWriter, rq *http.Request, run func()) {
+	run()
+	rw.Header().Set(headers.RequestID, rq.Header.Get(headers.RequestID))
+	_, _ = io.WriteString(rw, "from who knows")
+}
+
+// deploy starts endpoints. The first is in the entry's own failure domain, so
+// that it is tried first.
+func deploy(t *testing.T, ro directory.Route, behaviours ...behaviour) *deployment {
+	t.Helper()
+	de := &deployment{}
+	di := &directory.Directory{}
+	ro.Host, ro.Prefix, ro.Shares = "desk", "/", []directory.Share{{Service: "desk", Weight: 1}}
+	di.SetConfiguration(&directory.Configuration{Routes: []directory.Route{ro}, Version: 1, Limits: directory.Limits{BodySize: 100}})
+	for i, be := range behaviours {
+		sv := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, rq *http.Request) {
+			be(rw, rq, func() { de.runs.Add(1) })
+		}))
+		t.Cleanup(sv.Close)
+		di.SetEndpoint(directory.Endpoint{
+			Address: strings.TrimPrefix(sv.URL, "http://"), Domain: fmt.Sprint(i), ID: fmt.Sprint("endpoint-", i),
+			Service: "desk", Slots: 6,
+		})
+	}
+	logger := logrus.New()
+	logger.SetLevel(logrus.PanicLevel)
+	de.forwarder = &Forwarder{
+		Budget: retry.NewBudget(retry.Policy{MaxAttempts: 10}, 1), Directory: di, Domain: "0", Headers: headers,
+		Log: logrus.NewEntry(logger), Metrics: metrics.NewSet(),
+	}
+	de.entry = httptest.NewServer(de.forwarder)
+	t.Cleanup(de.entry.Close)
+	return de
+}
+
+func (de *deployment) ask(t *testing.T, method, path, body string) (status int, answer string, header http.Header) {
+	t.Helper()
+	rq, err := http.NewRequestWithContext(t.Context(), method, de.entry.URL+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	rq.Host = "desk"
+	rq.Header.Set(headers.RequestID, "request")
+	rq.Header.Set(headers.Deadline, "20000")
+	resp, err := http.DefaultClient.Do(rq)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp.StatusCode, string(data), resp.Header
+}
+
+func TestAttempts(t *testing.T) {
+	// Symptom: an order line runs twice, a caller gets another's answer or half of
+	// one, or is told that its request did not run when it did.
+	// Sequence: an endpoint refuses, fails, breaks off or crosses its answer.
+	// Cause: what became of the first attempt was taken for something else.
+	for _, tc := range []struct {
+		name   string
+		first  behaviour
+		kind   directory.Kind
+		status int
+		runs   int64
+	}{
+		{"repeatable, refused", full, directory.Repeatable, 200, 1},
+		{"repeatable, another endpoint has the address", another, directory.Repeatable, 200, 1},
+		{"repeatable, failed", failing, directory.Repeatable, 200, 2},
+		{"repeatable, cut short", cutShort, directory.Repeatable, 200, 2},
+		{"repeatable, crossed", crossed, directory.Repeatable, 200, 2},
+		{"repeatable, unsigned", unsigned, directory.Repeatable, 200, 2},
+		{"once, refused", full, directory.Once, 200, 1},
+		{"once, another endpoint has the address", another, directory.Once, 200, 1},
+		{"once, failed", failing, directory.Once, 500, 1},
+		{"once, cut short", cutShort, directory.Once, 504, 1},
+		{"once, crossed", crossed, directory.Once, 504, 1},
+		{"once, unsigned", unsigned, directory.Once, 504, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			de := deploy(t, directory.Route{Kind: tc.kind, MaxAttempts: 2}, tc.first, whole)
+			status, answer, _ := de.ask(t, http.MethodPost, "/a?b=c", "line")
+			assert.Equal(t, status, tc.status)
+			assert.Equal(t, de.runs.Load(), tc.runs)
+			if status == http.StatusOK {
+				assert.Equal(t, answer, "POST /a?b=c line")
+			}
+		})
+	}
+}
+
+func TestAllEndpointsFull(t *testing.T) {
+	de := deploy(t, directory.Route{Kind: directory.Once, MaxAttempts: 5}, full, full)
+	status, _, header := de.ask(t, http.MethodPost, "/", "line")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, header.Get("Retry-After"), "0.05")
+}
+
+func TestHedge(t *testing.T) {
+	// Symptom: a turnstile waits for seconds while other endpoints are idle.
+	// Sequence: the endpoint that gets the request has fallen silent.
+	// Cause: the request waited for it until its deadline.
+	release := make(chan struct{})
+	silent := func(rw http.ResponseWriter, rq *http.Request, run func()) {
+		run()
+		<-release
+		sign(rw, rq)
+	}
+	de := deploy(t, directory.Route{Kind: directory.Repeatable, MaxAttempts: 2}, silent, whole)
+	t.Cleanup(sync.OnceFunc(func() { close(release) }))
+	status, answer, _ := de.ask(t, http.MethodGet, "/a", "")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, answer, "GET /a ")
+}
+
+func TestRejections(t *testing.T) {
+	de := deploy(t, directory.Route{Kind: directory.Repeatable, MaxAttempts: 2}, whole)
+	for _, tc := range []struct {
+		name   string
+		change func(rq *http.Request)
+		status int
+	}{
+		{"host without routes", func(rq *http.Request) { rq.Host = "other" }, http.StatusNotFound},
+		{"no id", func(rq *http.Request) { rq.Header.Del(headers.RequestID) }, http.StatusBadRequest},
+		{"body too large", func(rq *http.Request) {
+			rq.Body = io.NopCloser(bytes.NewReader(make([]byte, 101)))
+			rq.ContentLength = 101
+		}, http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			rq, err := http.NewRequestWithContext(t.Context(), http.MethodPost, de.entry.URL, http.NoBody)
+			assert.NilError(t, err)
+			rq.Host = "desk"
+			rq.Header.Set(headers.RequestID, "request")
+			tc.change(rq)
+			resp, err := http.DefaultClient.Do(rq)
+			assert.NilError(t, err)
+			assert.NilError(t, resp.Body.Close())
+			assert.Equal(t, resp.StatusCode, tc.status)
+		})
+	}
+	assert.Equal(t, de.runs.Load(), int64(0))
+}
+
+func TestNoConfigurationYet(t *testing.T) {
+	// Symptom: a caller is told for good that its address does not exist.
+	// Sequence: it reaches an entry that has just started.
+	// Cause: an entry without a configuration knows no route.
+	de := deploy(t, directory.Route{}, whole)
+	de.forwarder.Directory = &directory.Directory{}
+	status, _, header := de.ask(t, http.MethodGet, "/", "")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, header.Get("Retry-After"), "0.5")
+}
+
+// stream answers with events after the last that the caller has, and breaks
+// off after some.
+func stream(last, breakAfter int) behaviour {
+	return func(rw http.ResponseWriter, rq *http.Request, run func()) {
+		run()
+		sign(rw, rq)
+		from := 0
+		_, _ = fmt.Sscan(rq.Header.Get(headers.LastEvent), &from)
+		for id := from + 1; id <= last; id++ {
+			if breakAfter > 0 && id > breakAfter {
+				_, _ = fmt.Fprintf(rw, "id: %d\nda", id)
+				_ = http.NewResponseController(rw).Flush()
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = fmt.Fprintf(rw, "id: %d\ndata: %d\n\n", id, id)
+			_ = http.NewResponseController(rw).Flush()
+		}
+	}
+}
+
+func TestStreams(t *testing.T) {
+	// Symptom: a piece of a stream is missing, comes twice, or half of one is
+	// taken for a whole; or a stream that broke looks whole.
+	// Sequence: an endpoint breaks a stream off within an event.
+	// Cause: bytes were passed on as they came, and the next endpoint went on
+	// from elsewhere.
+	const five = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\nid: 4\ndata: 4\n\nid: 5\ndata: 5\n\n"
+	for _, tc := range []struct {
+		name      string
+		resumable bool
+		first     behaviour
+		broken    bool
+		runs      int64
+	}{
+		{"whole", false, stream(5, 0), false, 1},
+		{"broken, goes on elsewhere", true, stream(5, 3), false, 2},
+		{"broken, may not go on", false, stream(5, 3), true, 1},
+		{"refused", false, full, false, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			de := deploy(t, directory.Route{MaxAttempts: 3, Resumable: tc.resumable, Streaming: true}, tc.first, stream(5, 0))
+			rq, err := http.NewRequestWithContext(t.Context(), http.MethodPost, de.entry.URL, http.NoBody)
+			assert.NilError(t, err)
+			rq.Host = "desk"
+			rq.Header.Set(headers.RequestID, "request")
+			resp, err := http.DefaultClient.Do(rq)
+			assert.NilError(t, err)
+			defer func() { _ = resp.Body.Close() }()
+			body, err := io.ReadAll(resp.Body)
+			assert.Equal(t, errors.Is(err, io.ErrUnexpectedEOF), tc.broken, "%v", err)
+			if !tc.broken {
+				assert.Equal(t, string(body), five)
+			}
+			assert.Equal(t, de.runs.Load(), tc.runs)
+		})
+	}
+}
+
+func TestPick(t *testing.T) {
+	// Load pattern: steady requests, of which some go to an endpoint that has
+	// turned slow, failed or begun to leave. Baseline: any endpoint is as good.
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	ens := []directory.Endpoint{
+		{Domain: "x", ID: "near", Slots: 6}, {Domain: "y", ID: "far", Slots: 6},
+	}
+	for _, tc := range []struct {
+		name   string
+		before func(ta *Table)
+		want   string
+	}{
+		{"own failure domain", func(*Table) {}, "near"},
+		{"near is slow", func(ta *Table) { ta.Slow("near", time.Second) }, "far"},
+		{"near failed", func(ta *Table) { ta.Failed("near", now) }, "far"},
+		{"near failed long ago", func(ta *Table) { ta.Failed("near", now.Add(-time.Minute)) }, "near"},
+		{"far failed last", func(ta *Table) {
+			ta.Failed("near", now.Add(-400*time.Millisecond))
+			ta.Failed("far", now)
+		}, "near"},
+		{"near is full", func(ta *Table) {
+			ta.Answered("near", firstLatency, load{running: 6, waiting: 12, places: 6}, true, now)
+		}, "far"},
+		{"near was full long ago", func(ta *Table) {
+			ta.Answered("near", firstLatency, load{running: 6, waiting: 12, places: 6}, true, now.Add(-time.Minute))
+		}, "near"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var ta Table
+			tc.before(&ta)
+			en, ok := ta.Pick(ens, nil, "x", now)
+			assert.Assert(t, ok)
+			assert.Equal(t, en.ID, tc.want)
+		})
+	}
+	var ta Table
+	_, ok := ta.Pick([]directory.Endpoint{{ID: "leaving", Leaving: true}}, nil, "x", now)
+	assert.Assert(t, !ok)
+}
--- /dev/null
+++ b/runner/runner_test.go
@@ -0,0 +1,247 @@
+package runner
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+)
+
+// A fakeEngine makes an event each 40 ms, and takes orders as engines do.
+type fakeEngine struct {
+	cut      int // events after which a stream breaks; 0 never
+	length   int // events of an item
+	lose     int // orders that are carried out without an answer
+	loads    time.Time
+	model    string
+	report   Report
+	skip     int64 // event that is left out
+	starts   []Launch
+	state    State
+	versions []uint64 // ordered
+}
+
+func (fe *fakeEngine) engine() Engine {
+	return Engine{
+		OrderFunc: func(_ context.Context, or Order, sequence uint64) (OrderState, error) {
+			if sequence != fe.report.Sequence || fe.report.Busy {
+				return OrderBusy, nil
+			}
+			fe.report.Sequence++
+			fe.report.Busy = true
+			fe.versions = append(fe.versions, or.Version)
+			time.AfterFunc(900*time.Millisecond, func() {
+				fe.report.Busy = false
+				fe.report.Versions = map[string]uint64{or.Model: or.Version}
+			})
+			if fe.lose > 0 {
+				fe.lose--
+				return OrderBusy, errors.New("no answer")
+			}
+			return OrderTaken, nil
+		},
+		ReportFunc: func(context.Context) (Report, error) { return fe.report, nil },
+		StartFunc:  fe.start,
+	}
+}
+
+func (fe *fakeEngine) start(ctx context.Context, la Launch) Start {
+	fe.starts = append(fe.starts, la)
+	if fe.state != Running {
+		return Start{Detail: "as told", State: fe.state}
+	}
+	id := int64(len(la.Prior))
+	return Start{Stream: Stream{
+		CloseFunc: func() {},
+		NextFunc: func() (Event, error) {
+			select {
+			case <-ctx.Done():
+				return Event{}, ctx.Err()
+			case <-time.After(40 * time.Millisecond):
+			}
+			id++
+			if id == fe.skip {
+				id++
+			}
+			if id > int64(fe.length) {
+				return Event{}, io.EOF
+			}
+			if fe.cut > 0 && id > int64(fe.cut) {
+				return Event{}, errors.New("cut")
+			}
+			return Event{Data: []byte("x"), ID: id, Version: 3}, nil
+		},
+	}}
+}
+
+func newRunner(fe *fakeEngine) *Runner {
+	logger := logrus.New()
+	logger.SetLevel(logrus.PanicLevel)
+	return &Runner{Engine: fe.engine(), Log: logrus.NewEntry(logger), Metrics: metrics.NewSet()}
+}
+
+func exchange(t *testing.T, rn *Runner, rq ExchangeRequest) ExchangeResponse {
+	t.Helper()
+	re, err := rn.Exchange(t.Context(), rq)
+	assert.NilError(t, err)
+	return re
+}
+
+func TestRuns(t *testing.T) {
+	prior := []Event{{ID: 1}, {ID: 2}}
+	for _, tc := range []struct {
+		name   string
+		engine fakeEngine
+		prior  []Event
+		state  State
+		events int
+	}{
+		{"whole", fakeEngine{length: 5}, nil, Complete, 5},
+		{"goes on after what was made", fakeEngine{length: 5}, prior, Complete, 5},
+		{"broken", fakeEngine{length: 5, cut: 3}, nil, Broken, 3},
+		{"an event is missing", fakeEngine{length: 5, skip: 3}, nil, Broken, 2},
+		{"not run", fakeEngine{state: NotRun}, nil, NotRun, 0},
+		{"failed", fakeEngine{state: Failed}, prior, Failed, 2},
+		{"can never be done", fakeEngine{state: Impossible}, nil, Impossible, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rn := newRunner(&tc.engine)
+				key := Key{Attempt: 1, Item: "i", Step: "s"}
+				exchange(t, rn, ExchangeRequest{Epoch: 1, Launches: []Launch{{Endpoint: "e", Key: key, Prior: tc.prior}}})
+				time.Sleep(time.Second)
+				re := exchange(t, rn, ExchangeRequest{Epoch: 1})
+				assert.Equal(t, len(re.Runs), 1)
+				assert.Equal(t, re.Runs[0].State, tc.state)
+				assert.Equal(t, re.Runs[0].First+len(re.Runs[0].Events), tc.events)
+			})
+		})
+	}
+}
+
+func TestRepeatedRequestLaunchesOnce(t *testing.T) {
+	// Symptom: an engine runs an item twice at once.
+	// Sequence: the answer to a launch is lost, and the scheduler repeats it.
+	// Cause: each message was taken for a run of its own.
+	synctest.Test(t, func(t *testing.T) {
+		fe := &fakeEngine{length: 5}
+		rn := newRunner(fe)
+		rq := ExchangeRequest{Epoch: 1, Launches: []Launch{{Key: Key{Attempt: 1, Item: "i"}}}}
+		exchange(t, rn, rq)
+		exchange(t, rn, rq)
+		time.Sleep(time.Second)
+		exchange(t, rn, rq)
+		synctest.Wait()
+		assert.Equal(t, len(fe.starts), 1)
+	})
+}
+
+func TestNewSchedulerGetsAll(t *testing.T) {
+	// Symptom: after a change of scheduler, whole texts are made again.
+	// Sequence: a scheduler has seen a run's events and dies; the next one asks.
+	// Cause: the attendant told the next one only what the first had not seen.
+	synctest.Test(t, func(t *testing.T) {
+		rn := newRunner(&fakeEngine{length: 5})
+		key := Key{Attempt: 1, Item: "i", Step: "s"}
+		exchange(t, rn, ExchangeRequest{Epoch: 1, Launches: []Launch{{Key: key}}})
+		time.Sleep(time.Second)
+		re := exchange(t, rn, ExchangeRequest{Epoch: 1, Seen: []Seen{{Events: 5, Key: key}}})
+		assert.Equal(t, len(re.Runs[0].Events), 0)
+		re = exchange(t, rn, ExchangeRequest{Epoch: 2})
+		assert.Equal(t, len(re.Runs[0].Events), 5)
+		_, err := rn.Exchange(t.Context(), ExchangeRequest{Epoch: 1, Stops: []Key{key}})
+		assert.Assert(t, errors.Is(err, ErrOldEpoch))
+		re = exchange(t, rn, ExchangeRequest{Epoch: 2, Forget: []Key{key}})
+		assert.Equal(t, len(re.Runs), 0)
+	})
+}
+
+func TestStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rn := newRunner(&fakeEngine{length: 50})
+		key := Key{Attempt: 1, Item: "i", Step: "s"}
+		exchange(t, rn, ExchangeRequest{Epoch: 1, Launches: []Launch{{Key: key}}})
+		time.Sleep(410 * time.Millisecond)
+		exchange(t, rn, ExchangeRequest{Epoch: 1, Stops: []Key{key}})
+		synctest.Wait()
+		re := exchange(t, rn, ExchangeRequest{Epoch: 1})
+		assert.Equal(t, re.Runs[0].State, Stopped)
+		assert.Equal(t, len(re.Runs[0].Events), 10)
+	})
+}
+
+func TestOrders(t *testing.T) {
+	// Symptom: an engine loads the same weights twice, or never.
+	// Sequence: an order goes unanswered, and may be carried out all the same.
+	// Cause: a repeat that does not say what came before it.
+	for _, tc := range []struct {
+		name string
+		lose int
+	}{
+		{"answered", 0},
+		{"carried out, answer lost", 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				fe := &fakeEngine{lose: tc.lose, report: Report{Versions: map[string]uint64{"m": 1}}}
+				rn := newRunner(fe)
+				go rn.Run(ctx)
+				synctest.Wait()
+				or := &Order{Endpoint: "e", Fence: 1, Model: "m", Version: 2}
+				assert.Equal(t, exchange(t, rn, ExchangeRequest{Epoch: 1, Order: or}).Ordered, uint64(2))
+				for range 20 {
+					time.Sleep(100 * time.Millisecond)
+					exchange(t, rn, ExchangeRequest{Epoch: 1, Order: or})
+				}
+				re := exchange(t, rn, ExchangeRequest{Epoch: 1, Order: or})
+				assert.DeepEqual(t, fe.versions, []uint64{2})
+				assert.Equal(t, re.Ordered, uint64(0), "the order has ended, though it is still asked for")
+				assert.Equal(t, re.Report.Versions["m"], uint64(2))
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+func TestPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var pa pacer
+		for i := range 2 * paceGaps {
+			took := 40 * time.Millisecond
+			if i%5 == 0 {
+				took = time.Second // a load of weights
+			}
+			pa.observe(took, time.Now())
+		}
+		took, count := pa.median(time.Now())
+		assert.Equal(t, took, 40*time.Millisecond)
+		assert.Equal(t, count, paceGaps)
+		time.Sleep(paceLife)
+		_, count = pa.median(time.Now())
+		assert.Equal(t, count, 0)
+	})
+}
+
+func TestWitness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		rn := newRunner(&fakeEngine{})
+		go rn.Run(ctx)
+		synctest.Wait()
+		time.Sleep(time.Second)
+		assert.Equal(t, rn.Witness().Since, time.Second)
+		exchange(t, rn, ExchangeRequest{Epoch: 4})
+		time.Sleep(time.Millisecond)
+		assert.DeepEqual(t, rn.Witness(), WitnessResponse{Epoch: 4, Since: time.Millisecond})
+		cancel()
+		synctest.Wait()
+	})
+}
