directory: one process feeds the others with endpoints

Each call to the store is paid for, and each engine's entry changes with each version; every entry and scheduler followed them all. Entries now take endpoints from the scheduler, which answers only while it is in touch with the store (1.1 s), and read them themselves while it doesn't.

--- a/cmd/platformentrycmd.go
+++ b/cmd/platformentrycmd.go
@@ -52,13 +52,15 @@
 		Directory: ho.directory, Domain: ho.settings.Domain, Headers: platform.Headers(), Log: ho.log, Metrics: ho.metrics,
 	}
 	su := &platform.Submissions{
-		Directory:  ho.directory,
-		Door:       &step.Door{Keeper: &step.Keeper{Client: ho.store}, Log: ho.log, Pool: ho.pool},
+		Directory: ho.directory,
+		Door: &step.Door{
+			Keeper: &step.Keeper{Client: ho.store}, Log: ho.log, Pool: ho.pool, Scheduler: ho.finder,
+		},
 		Live:       fo,
 		RetryAfter: stepRetry,
 	}
 	ga := &gateway{handler: su.Handler()}
-	background(lc, ho.follower().Run)
+	background(lc, ho.follower(func() bool { return false }).Run)
 	background(lc, func(ctx context.Context) { every(ctx, expireEvery, fo.Expire) })
 	ho.serveMetrics(lc)
 	sv := &http.Server{Handler: roleprocess.CloseWhile(ga.stopping.Load, ga), ReadHeaderTimeout: headerTimeout}
--- a/cmd/platformhost.go
+++ b/cmd/platformhost.go
@@ -19,6 +19,7 @@
 	"wisteriacroft/directory"
 	"wisteriacroft/forward"
 	"wisteriacroft/keyvalue"
+	"wisteriacroft/lease"
 	"wisteriacroft/message"
 	"wisteriacroft/peer"
 	"wisteriacroft/platform"
@@ -45,6 +46,7 @@
 // A host is what the roles on the platform share as processes.
 type host struct {
 	directory *directory.Directory
+	finder    *lease.Finder
 	log       *logrus.Entry
 	metrics   *metrics.Set
 	pool      *peer.Pool
@@ -66,18 +68,21 @@
 	set := metrics.NewSet()
 	set.NewGauge("wisteriacroft_log_lines_dropped", func() float64 { return float64(writer.Dropped()) })
 	set.NewGauge("wisteriacroft_log_lines_written", func() float64 { return float64(writer.Written()) })
+	log := logger.WithFields(logrus.Fields{"instance": se.Instance, "role": role})
+	store := platform.NewStore(se.StoreAddress, forward.NewHTTPClient())
 	return &host{
 		directory: &directory.Directory{},
-		log:       logger.WithFields(logrus.Fields{"instance": se.Instance, "role": role}),
+		finder:    &lease.Finder{Client: store, Log: log, Name: step.LeaseName},
+		log:       log,
 		metrics:   set,
 		pool: &peer.Pool{
-			Codes: step.Codes(), DialTimeout: dialTimeout, SilenceTimeout: silenceTimeout,
+			Codes: codes(), DialTimeout: dialTimeout, SilenceTimeout: silenceTimeout,
 			DialFunc: func(ctx context.Context, address string) (net.Conn, error) {
 				return forward.Dialer().DialContext(ctx, "tcp", address)
 			},
 		},
 		settings: se,
-		store:    platform.NewStore(se.StoreAddress, forward.NewHTTPClient()),
+		store:    store,
 	}, nil
 }
 
@@ -88,16 +93,23 @@
 	silenceTimeout = 1200 * time.Millisecond
 )
 
+// codes returns the errors that cross the system's processes.
+func codes() []peer.Code {
+	return append(step.Codes(), peer.Code{Err: directory.ErrNotFeeder, Name: "not-feeder"})
+}
+
 func applyMemory(se platform.Settings) {
 	if se.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(se.MemoryLimit)))
 	}
 }
 
-// follower returns what keeps the host's directory up to date.
-func (ho *host) follower() *directory.Follower {
+// follower returns what keeps the host's directory up to date. It reads all
+// itself while direct is true.
+func (ho *host) follower(direct func() bool) *directory.Follower {
 	return &directory.Follower{
-		Client: ho.store, Directory: ho.directory, Log: ho.log, Source: platform.Source(),
+		Client: ho.store, DirectFunc: direct, Directory: ho.directory, Feeder: ho.finder, Log: ho.log,
+		Pool: ho.pool, Source: platform.Source(),
 	}
 }
 
@@ -189,7 +201,7 @@
 
 // servePeers serves calls of the system's other processes.
 func (ho *host) servePeers(lc fx.Lifecycle, ps *peer.Server) {
-	ps.Codes = step.Codes()
+	ps.Codes = codes()
 	mux := http.NewServeMux()
 	mux.Handle(message.RPCPath, ps)
 	sv := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
--- a/cmd/platformschedulercmd.go
+++ b/cmd/platformschedulercmd.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/google/uuid"
 	"go.uber.org/fx"
 
+	"wisteriacroft/directory"
 	"wisteriacroft/keyvalue"
 	"wisteriacroft/lease"
 	"wisteriacroft/peer"
@@ -49,9 +51,11 @@
 	sc.Holder.SuspectFunc = sc.Suspect
 	var ps peer.Server
 	sc.Register(&ps)
-	fo := ho.follower()
+	fo := ho.follower(sc.Leads)
+	fo.Own = platform.RetireKey(ho.settings.Instance)
+	directory.RegisterFeed(&ps, fo, uuid.NewString())
 	fo.OperatorFunc = func(it keyvalue.Item) {
-		if platform.Retires(it, ho.settings.Instance) {
+		if it.Key == fo.Own {
 			go ho.retire(sc)
 		}
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -26,6 +26,8 @@
 	missing       map[string]time.Time // endpoints to drop, and when
 	versions      map[string]uint64    // newest version named for a model
 	synced        bool                 // endpoints have been read once
+	confirmedAt   time.Time            // the service last told of the endpoints
+	generation    uint64               // of the endpoints; their models' versions don't count
 	awaySince     time.Time            // zero while the service answers
 	backAt        time.Time
 }
@@ -95,10 +97,42 @@
 	if di.endpoints == nil {
 		di.endpoints = map[string]Endpoint{}
 	}
+	if old, ok := di.endpoints[en.ID]; !ok || old.differs(en) {
+		di.generation++
+	}
 	di.endpoints[en.ID] = en
 	delete(di.missing, en.ID)
 }
 
+// replaceEndpoints replaces all endpoints by those that another process knows.
+// It has waited for those that went missing in an outage.
+func (di *Directory) replaceEndpoints(ens []Endpoint) {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	di.endpoints = make(map[string]Endpoint, len(ens))
+	for _, en := range ens {
+		di.endpoints[en.ID] = en
+	}
+	di.missing = nil
+	di.synced = true
+	di.generation++
+}
+
+// Confirm takes in that what is known of endpoints was true at a moment.
+func (di *Directory) Confirm(at time.Time) {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	di.confirmedAt = at
+}
+
+// confirmed returns the generation of the endpoints, how long ago the service
+// told of them, and whether it ever did.
+func (di *Directory) confirmed(now time.Time) (generation uint64, age time.Duration, known bool) {
+	di.mu.RLock()
+	defer di.mu.RUnlock()
+	return di.generation, now.Sub(di.confirmedAt), di.synced && !di.confirmedAt.IsZero()
+}
+
 // RemoveEndpoint drops an endpoint whose entry is gone.
 //
 // Entries also vanish while the service is away from the endpoints, and come
@@ -112,6 +146,7 @@
 	back := !di.backAt.IsZero() && now.Sub(di.backAt) <= returnTime
 	if !away && !back {
 		delete(di.endpoints, id)
+		di.generation++
 		return
 	}
 	if di.missing == nil {
@@ -147,6 +182,7 @@
 		if now.After(at) && di.awaySince.IsZero() && now.Sub(di.backAt) > returnTime {
 			delete(di.endpoints, id)
 			delete(di.missing, id)
+			di.generation++
 		}
 	}
 }
--- a/directory/endpoint.go
+++ b/directory/endpoint.go
@@ -30,3 +30,10 @@
 	}
 	return 0
 }
+
+// differs reports whether another entry of the endpoint says more than which
+// versions it serves.
+func (en Endpoint) differs(other Endpoint) bool {
+	return en.Address != other.Address || en.Domain != other.Domain || en.Leaving != other.Leaving ||
+		en.Service != other.Service || en.Slots != other.Slots
+}
--- /dev/null
+++ b/directory/feed.go
@@ -0,0 +1,117 @@
+package directory
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wisteriacroft/message"
+	"wisteriacroft/peer"
+)
+
+// Bounds of feeding processes with endpoints.
+const (
+	// feedMethod asks for the endpoints.
+	feedMethod = "directory.Feed"
+	// feedWait is how long an answer waits for news.
+	feedWait = 800 * time.Millisecond
+	// feedTimeout bounds one call.
+	feedTimeout = feedWait + 400*time.Millisecond
+	// feedAge is how old the feeder's own knowledge may be. With the time of one
+	// call it stays under the 2 s within which an endpoint that leaves must get
+	// no new work.
+	feedAge = 1100 * time.Millisecond
+	// feedPoll is how often a feeder looks for news.
+	feedPoll = 20 * time.Millisecond
+)
+
+// ErrNotFeeder means that the process does not follow the endpoints itself, or
+// has not heard of them of late.
+var ErrNotFeeder = errors.New("does not feed")
+
+// A FeedRequest asks for the endpoints if they are not those of a generation.
+type FeedRequest struct {
+	Boot       string // of the process whose generation it is
+	Generation uint64
+}
+
+// A FeedResponse holds the endpoints, if Fresh.
+type FeedResponse struct {
+	Boot       string
+	Endpoints  []Endpoint
+	Fresh      bool // they are not those that were asked with
+	Generation uint64
+}
+
+// RegisterFeed lets other processes take their endpoints from a follower.
+func RegisterFeed(sv *peer.Server, fo *Follower, boot string) {
+	peer.Handle(sv, feedMethod, func(ctx context.Context, _ message.Header, rq FeedRequest) (FeedResponse, error) {
+		return fo.feed(ctx, boot, rq)
+	})
+}
+
+// feed answers once the endpoints are others than those that the caller has.
+func (fo *Follower) feed(ctx context.Context, boot string, rq FeedRequest) (FeedResponse, error) {
+	end := time.Now().Add(feedWait)
+	for {
+		generation, age, known := fo.Directory.confirmed(time.Now())
+		if !fo.direct() || !known || age > feedAge {
+			return FeedResponse{}, errors.Wrapf(ErrNotFeeder, "endpoints are %s old", age)
+		}
+		if rq.Boot != boot || rq.Generation != generation {
+			return FeedResponse{
+				Boot: boot, Endpoints: fo.Directory.Endpoints(""), Fresh: true, Generation: generation,
+			}, nil
+		}
+		if !time.Now().Before(end) {
+			return FeedResponse{Boot: boot, Generation: generation}, nil
+		}
+		sleep(ctx, feedPoll)
+	}
+}
+
+// takeFeed takes the endpoints from the feeder for as long as it can be reached,
+// and reads them itself meanwhile.
+//
+// Each call to the key-value service is paid for, and an endpoint's entry
+// changes with each version of its weights. Fed by one process, 27 entries make
+// a tenth of the calls that each would make for itself.
+func (fo *Follower) takeFeed(ctx context.Context) {
+	var rq FeedRequest
+	for ctx.Err() == nil {
+		re, err := fo.askFeed(ctx, rq)
+		if err == nil {
+			if re.Fresh {
+				fo.Directory.replaceEndpoints(re.Endpoints)
+			}
+			rq = FeedRequest{Boot: re.Boot, Generation: re.Generation}
+			continue
+		}
+		rq = FeedRequest{}
+		ch, err := fo.next(ctx, fo.Source.EndpointPrefix, 0, true)
+		fo.away(fo.Source.EndpointPrefix, err)
+		if err == nil {
+			fo.applyEndpoints(ch.Items, true)
+		}
+		sleep(ctx, scanPause)
+	}
+}
+
+// scanPause is the pause between readings of all endpoints while there is no
+// feeder.
+const scanPause = 500 * time.Millisecond
+
+func (fo *Follower) askFeed(ctx context.Context, rq FeedRequest) (FeedResponse, error) {
+	address := fo.Feeder.Address(ctx)
+	if address == "" {
+		return FeedResponse{}, ErrNotFeeder
+	}
+	ctx, cancel := context.WithTimeout(ctx, feedTimeout)
+	defer cancel()
+	re, err := peer.Call[FeedRequest, FeedResponse](ctx, fo.Pool, address, feedMethod, rq)
+	if err != nil && ctx.Err() == nil || errors.Is(err, context.DeadlineExceeded) {
+		fo.Feeder.Lose(address, err)
+	}
+	return re, err
+}
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"wisteriacroft/keyvalue"
+	"wisteriacroft/lease"
+	"wisteriacroft/peer"
 )
 
 // Bounds of following the key-value service.
@@ -25,7 +28,10 @@
 	// retryPause is the pause after a failed call.
 	retryPause = 250 * time.Millisecond
 	// expireEvery is how often endpoints that stay missing are looked for.
-	expireEvery = 200 * time.Millisecond
+	expireEvery = 100 * time.Millisecond
+	// endpointsWait is how long one call waits for changes of endpoints. Those
+	// who are fed need to know that the feeder is in touch.
+	endpointsWait = 800 * time.Millisecond
 )
 
 // A Source says where in the key-value service things lie and how they read.
@@ -48,36 +54,74 @@
 	Directory *Directory
 	Log       *logrus.Entry
 	Source    Source
+	// DirectFunc reports whether the process reads all from the key-value
+	// service itself. Else it takes endpoints from Feeder, which it reaches over
+	// Pool, and reads only the configuration and what concerns its own instance.
+	// Nil means that it does.
+	DirectFunc func() bool
+	Feeder     *lease.Finder
+	// Own is the key of what the operators ask of this instance, or "".
+	Own  string
+	Pool *peer.Pool
 	// OperatorFunc is told of items under OperatorPrefix that are neither the
 	// configuration nor a version. Nil ignores them.
 	OperatorFunc func(it keyvalue.Item)
-	// Pause overrides the pause after changes under the endpoints' prefix.
-	Pause time.Duration
 }
 
 // Run follows until ctx ends.
 func (fo *Follower) Run(ctx context.Context) {
-	go fo.Prefix(ctx, fo.Source.OperatorPrefix, 0, fo.applyOperator)
-	go fo.Prefix(ctx, fo.Source.EndpointPrefix, max(fo.Pause, followPause), fo.applyEndpoints)
-	ti := time.NewTicker(expireEvery)
-	defer ti.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ti.C:
-			fo.Directory.Expire(now)
+	for ctx.Err() == nil {
+		direct := fo.direct()
+		sub, cancel := context.WithCancel(ctx)
+		var wg sync.WaitGroup
+		for _, fn := range fo.tasks(direct) {
+			wg.Go(func() { fn(sub) })
+		}
+		for ctx.Err() == nil && fo.direct() == direct {
+			sleep(ctx, expireEvery)
+			fo.Directory.Expire(time.Now())
+		}
+		cancel()
+		wg.Wait()
+	}
+}
+
+// direct reports whether the process reads all from the service itself.
+func (fo *Follower) direct() bool { return fo.DirectFunc == nil || fo.DirectFunc() }
+
+// tasks returns what follows what.
+func (fo *Follower) tasks(direct bool) []func(ctx context.Context) {
+	prefix := func(prefix string, wait, pause time.Duration, apply func([]keyvalue.Item, bool)) func(ctx context.Context) {
+		return func(ctx context.Context) { fo.Prefix(ctx, prefix, wait, pause, apply) }
+	}
+	if direct {
+		return []func(ctx context.Context){
+			prefix(fo.Source.OperatorPrefix, followWait, 0, fo.applyOperator),
+			prefix(fo.Source.EndpointPrefix, endpointsWait, followPause, fo.applyEndpoints),
 		}
 	}
+	tasks := []func(ctx context.Context){
+		prefix(fo.Source.ConfigurationKey, followWait, 0, fo.applyOperator),
+		fo.takeFeed,
+	}
+	if fo.Own != "" {
+		tasks = append(tasks, prefix(fo.Own, followWait, 0, fo.applyOperator))
+	}
+	return tasks
 }
 
 // Prefix scans a prefix and follows it until ctx ends. Apply gets whole
 // listings first and after history was lost, and changes else.
-func (fo *Follower) Prefix(ctx context.Context, prefix string, pause time.Duration, apply func([]keyvalue.Item, bool)) {
+func (fo *Follower) Prefix(
+	ctx context.Context, prefix string, wait, pause time.Duration, apply func([]keyvalue.Item, bool),
+) {
 	var after int64
 	scan := true
 	for ctx.Err() == nil {
-		ch, err := fo.next(ctx, prefix, after, scan)
+		ch, err := fo.nextWithin(ctx, prefix, after, scan, wait)
+		if ctx.Err() != nil {
+			return
+		}
 		fo.away(prefix, err)
 		if errors.Is(err, keyvalue.ErrHistoryGone) {
 			fo.Log.WithFields(logrus.Fields{"prefix": prefix, "after": after}).Info("history lost, scanning again")
@@ -90,6 +134,11 @@
 		}
 		if scan || len(ch.Items) > 0 {
 			apply(ch.Items, scan)
+		}
+		if prefix == fo.Source.EndpointPrefix {
+			fo.Directory.Confirm(time.Now())
+		}
+		if scan || len(ch.Items) > 0 {
 			sleep(ctx, pause)
 		}
 		after, scan = max(after, ch.Version), false
@@ -97,12 +146,18 @@
 }
 
 func (fo *Follower) next(ctx context.Context, prefix string, after int64, scan bool) (keyvalue.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, followWait+followSlack)
+	return fo.nextWithin(ctx, prefix, after, scan, followWait)
+}
+
+func (fo *Follower) nextWithin(
+	ctx context.Context, prefix string, after int64, scan bool, wait time.Duration,
+) (keyvalue.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+followSlack)
 	defer cancel()
 	if scan {
 		return fo.Client.Scan(ctx, prefix)
 	}
-	return fo.Client.Follow(ctx, prefix, after, followWait)
+	return fo.Client.Follow(ctx, prefix, after, wait)
 }
 
 // away notes whether the service answers.
--- /dev/null
+++ b/lease/finder.go
@@ -0,0 +1,64 @@
+package lease
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"wisteriacroft/keyvalue"
+)
+
+// Bounds of looking for a holder.
+const (
+	// lookEvery is how often the service is asked while no holder is known.
+	lookEvery = 300 * time.Millisecond
+	// lookTimeout bounds one such question.
+	lookTimeout = 800 * time.Millisecond
+)
+
+// A Finder knows where the holder of a name is. Fill the exported fields before
+// use.
+type Finder struct {
+	Client *keyvalue.Client
+	Log    *logrus.Entry
+	Name   string
+
+	address  string // empty if not known
+	lookedAt time.Time
+	mu       sync.Mutex
+}
+
+// Address returns where the holder is, or "".
+func (fi *Finder) Address(ctx context.Context) string {
+	fi.mu.Lock()
+	if fi.address != "" || time.Since(fi.lookedAt) < lookEvery {
+		defer fi.mu.Unlock()
+		return fi.address
+	}
+	fi.lookedAt = time.Now()
+	fi.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	rec, err := Current(ctx, fi.Client, fi.Name)
+	fi.Log.WithFields(logrus.Fields{"address": rec.Owner, "epoch": rec.Epoch, "error": err, "lease": fi.Name}).
+		Info("looked for the holder")
+	if err != nil {
+		return ""
+	}
+	fi.mu.Lock()
+	defer fi.mu.Unlock()
+	fi.address = rec.Owner
+	return rec.Owner
+}
+
+// Lose forgets a holder that can't be reached, or holds the name no longer.
+func (fi *Finder) Lose(address string, err error) {
+	fi.mu.Lock()
+	defer fi.mu.Unlock()
+	if fi.address == address && address != "" {
+		fi.address = ""
+		fi.Log.WithFields(logrus.Fields{"address": address, "dependency": fi.Name, "error": err}).Warn("dependency lost")
+	}
+}
--- a/step/door.go
+++ b/step/door.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,21 +24,15 @@
 	acceptTime = 3500 * time.Millisecond
 	// askTimeout bounds a question to the scheduler beyond the wait it asks for.
 	askTimeout = 1200 * time.Millisecond
-	// lookEvery is how often an entry asks who the scheduler is while it can't
-	// be reached.
-	lookEvery = 300 * time.Millisecond
 )
 
 // A Door is an entry's part in steps: it keeps what trainers hand in, and asks
 // the scheduler for what they read. Fill the exported fields before use.
 type Door struct {
-	Keeper *Keeper
-	Log    *logrus.Entry
-	Pool   *peer.Pool
-
-	lookedAt  time.Time
-	mu        sync.Mutex
-	scheduler string // address; empty if not known
+	Keeper    *Keeper
+	Log       *logrus.Entry
+	Pool      *peer.Pool
+	Scheduler *lease.Finder
 }
 
 // Accept keeps a step. ErrUnavailable means that it is not kept and won't be;
@@ -85,7 +78,7 @@
 	if err == nil || errors.Is(err, ErrTooManyParts) {
 		return err
 	}
-	address := do.address(ctx)
+	address := do.Scheduler.Address(ctx)
 	if address == "" {
 		return err
 	}
@@ -141,7 +134,7 @@
 	var resp Resp
 	err := errNotScheduler
 	for range 2 {
-		address := do.address(ctx)
+		address := do.Scheduler.Address(ctx)
 		if address == "" {
 			return resp, err
 		}
@@ -151,39 +144,7 @@
 		if err == nil || errors.Is(err, ErrUnknownStep) {
 			return resp, err
 		}
-		do.lose(address, err)
+		do.Scheduler.Lose(address, err)
 	}
 	return resp, err
 }
-
-// address returns where the scheduler is, or "".
-func (do *Door) address(ctx context.Context) string {
-	do.mu.Lock()
-	if do.scheduler != "" || time.Since(do.lookedAt) < lookEvery {
-		defer do.mu.Unlock()
-		return do.scheduler
-	}
-	do.lookedAt = time.Now()
-	do.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	rec, err := lease.Current(ctx, do.Keeper.Client, LeaseName)
-	do.Log.WithFields(logrus.Fields{"address": rec.Owner, "epoch": rec.Epoch, "error": err}).Info("looked for the scheduler")
-	if err != nil {
-		return ""
-	}
-	do.mu.Lock()
-	defer do.mu.Unlock()
-	do.scheduler = rec.Owner
-	return rec.Owner
-}
-
-// lose forgets a scheduler that can't be reached.
-func (do *Door) lose(address string, err error) {
-	do.mu.Lock()
-	defer do.mu.Unlock()
-	if do.scheduler == address {
-		do.scheduler = ""
-		do.Log.WithFields(logrus.Fields{"address": address, "dependency": "scheduler", "error": err}).Warn("dependency lost")
-	}
-}
--- a/step/keep_test.go
+++ b/step/keep_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"wisteriacroft/keyvalue"
+	"wisteriacroft/lease"
 	"wisteriacroft/peer"
 )
 
@@ -19,6 +20,13 @@
 	return logrus.NewEntry(logger)
 }
 
+func doorOf(ke *Keeper) *Door {
+	return &Door{
+		Keeper: ke, Log: quiet(), Pool: &peer.Pool{},
+		Scheduler: &lease.Finder{Client: ke.Client, Log: quiet(), Name: LeaseName},
+	}
+}
+
 func TestAcceptOnce(t *testing.T) {
 	var me keyvalue.Memory
 	ke := &Keeper{Client: me.Client()}
@@ -127,7 +135,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				var me keyvalue.Memory
 				tc.faults(&me)
-				do := &Door{Keeper: &Keeper{Client: me.Client()}, Log: quiet(), Pool: &peer.Pool{}}
+				do := doorOf(&Keeper{Client: me.Client()})
 				begun := time.Now()
 				err := do.Accept(t.Context(), stepOf("s", 1))
 				took := time.Since(begun)
@@ -149,7 +157,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var me keyvalue.Memory
 		ke := &Keeper{Client: me.Client()}
-		do := &Door{Keeper: ke, Log: quiet(), Pool: &peer.Pool{}}
+		do := doorOf(ke)
 		assert.NilError(t, ke.Accept(t.Context(), stepOf("s", 2)))
 		_, err := ke.Write(t.Context(), keyvalue.Expectation{Key: "lease"}, Update{
 			Chunks: []Chunk{{Step: "s", Results: []Result{{Item: "a"}}}},
@@ -169,4 +177,3 @@
 		assert.Assert(t, err != nil && !errors.Is(err, ErrUnknownStep), "%v", err)
 	})
 }
-
--- a/step/scheduler.go
+++ b/step/scheduler.go
@@ -105,6 +105,13 @@
 	})
 }
 
+// Leads reports whether this process runs the steps.
+func (sc *Scheduler) Leads() bool {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.term != nil
+}
+
 // Retire makes the scheduler never hold the lease again.
 func (sc *Scheduler) Retire() {
 	sc.mu.Lock()
