--- a/step/table.go
+++ b/step/table.go
@@ -80,6 +80,7 @@
 	gone     bool // another answers at its address
 	items    map[runner.Key]*itemRow
 	leaving  bool
+	model    string        // whose newest versions it loads
 	order    *runner.Order // wanted, until it holds
 	orderAt  time.Time
 	ordered  bool      // the attendant has the order
@@ -117,6 +118,7 @@
 	order   []*stepRow        // open steps by acceptance
 	named   map[string]uint64 // newest version of each model
 	log     func(event string, fields map[string]any)
+	demand  map[string]float64       // work of a model's step, in tokens
 	garbage []string                 // keys to remove
 	savedAt time.Time                // of the last checkpoint
 	paces   map[string]time.Duration // of the median engine, by service
@@ -132,7 +134,7 @@
 		log = func(string, map[string]any) {}
 	}
 	ta := &Table{
-		attempt: epoch << attemptBits, engines: map[string]*engineRow{}, epoch: epoch, log: log,
+		attempt: epoch << attemptBits, demand: map[string]float64{}, engines: map[string]*engineRow{}, epoch: epoch, log: log,
 		paces: map[string]time.Duration{}, named: map[string]uint64{}, lengths: map[string]int{}, reuse: map[string]*itemRow{},
 		steps: map[string]*stepRow{},
 	}
@@ -182,6 +184,7 @@
 		ta.takeOver(ir, now)
 	}
 	sr.restore(ke.Checkpoints)
+	ta.observeDemand(st)
 	ta.order = append(ta.order, sr)
 	slices.SortStableFunc(ta.order, func(a, b *stepRow) int { return a.step.Accepted.Compare(b.step.Accepted) })
 	ta.log("step accepted", map[string]any{
--- a/step/table_test.go
+++ b/step/table_test.go
@@ -357,3 +357,35 @@
 		assert.Equal(t, en.reserved, 0, en.id)
 	}
 }
+
+func TestEnginesAreSharedByWork(t *testing.T) {
+	// Load pattern: three trainers with models of their own share the engines;
+	// baseline: each engine loads every version of each, and is never done.
+	ta := NewTable(1, nil)
+	var ids []string
+	for i := range 10 {
+		ids = append(ids, fmt.Sprint("engine-", i))
+	}
+	addEngines(ta, begin, ids...)
+	for _, id := range ids {
+		hear(ta, id, runner.ExchangeResponse{Report: runner.Report{Versions: map[string]uint64{"x": 1, "y": 1, "z": 1}}}, begin)
+	}
+	for model, size := range map[string]int{"x": 60, "y": 30, "z": 10} {
+		st := stepOf("step-"+model, size)
+		st.Model = model
+		ta.Accept(st, Kept{}, false, begin)
+		ta.SetVersion(model, 2)
+	}
+	ta.Weights(begin)
+	have := map[string]int{}
+	ordered := 0
+	for _, en := range ta.sorted {
+		have[en.model]++
+		if en.order != nil {
+			ordered++
+			assert.Equal(t, en.order.Model, en.model)
+		}
+	}
+	assert.DeepEqual(t, have, map[string]int{"x": 6, "y": 3, "z": 1})
+	assert.Assert(t, ordered >= leastAtOnce)
+}
