step: hold the results of few ended steps in memory

All results were held, and the events of all ended items as well. Now 16 MB of ended steps, and the events of groups that may come again.

--- a/step/listing.go
+++ b/step/listing.go
@@ -114,6 +114,9 @@
 		all := true
 		for _, ir := range sr.items {
 			ir.listed = ir.listed || positions[ir.item.ID]
+			if ir.listed && sr.groups[ir.item.Group].left == 0 {
+				ir.events = nil // the text stands in the results
+			}
 			all = all && ir.listed
 		}
 		sr.idle = sr.idle || all
--- a/step/scheduler.go
+++ b/step/scheduler.go
@@ -44,7 +44,7 @@
 	// retryAfter is the pause after a failed call to the service.
 	retryAfter = 200 * time.Millisecond
 	// housekeeping is how often steps that no one reads are dropped.
-	housekeeping = 5 * time.Second
+	housekeeping = 2 * time.Second
 )
 
 // errNotScheduler means that another process runs the steps, or none.
--- a/step/table.go
+++ b/step/table.go
@@ -238,7 +238,7 @@
 	for _, ir := range sr.items {
 		ta.release(ir)
 		ta.unreserve(ir)
-		if len(ir.events) > 0 && ir.state != lost {
+		if len(ir.events) > 0 && ir.state != lost && sr.groups[ir.item.Group].left > 0 {
 			ta.reuse[ir.item.ID] = ir
 			ta.lengths[ir.item.ID] = max(ta.lengths[ir.item.ID], len(ir.events))
 		}
@@ -290,13 +290,45 @@
 		}
 	}
 	for id, ir := range ta.reuse {
-		if ir.step.step.age(now) > keep {
+		if ir.step.step.age(now) > reuseTime {
 			delete(ta.reuse, id)
 			delete(ta.lengths, id)
 		}
 	}
+	ta.evict()
 	return ids
 }
 
+const (
+	// reuseTime is for how long the text of groups that were not whole is held:
+	// they come again within two steps or not at all.
+	reuseTime = 45 * time.Second
+	// cachedResults is how much text of ended steps is held, in bytes. A third
+	// of the least memory of an instance that may run a scheduler is left for
+	// what is under way; older results are read when someone asks.
+	cachedResults = 16 << 20
+)
+
+// evict drops the results of the oldest ended steps from memory, beyond what is
+// to be held. They are kept in the key-value service.
+func (ta *Table) evict() {
+	var ended []*stepRow
+	for _, sr := range ta.steps {
+		if sr.ended && len(sr.results) > 0 {
+			ended = append(ended, sr)
+		}
+	}
+	slices.SortFunc(ended, func(a, b *stepRow) int { return b.step.Accepted.Compare(a.step.Accepted) })
+	held := 0
+	for _, sr := range ended {
+		for _, re := range sr.results {
+			held += len(re.Text)
+		}
+		if held > cachedResults {
+			sr.results, sr.loaded = nil, false
+		}
+	}
+}
+
 // Open reports whether any step has items to run or list.
 func (ta *Table) Open() bool { return len(ta.order) > 0 }
--- a/step/table_test.go
+++ b/step/table_test.go
@@ -389,3 +389,24 @@
 	assert.DeepEqual(t, have, map[string]int{"x": 6, "y": 3, "z": 1})
 	assert.Assert(t, ordered >= leastAtOnce)
 }
+
+func TestOldResultsLeaveMemory(t *testing.T) {
+	// Symptom: a scheduler runs out of memory after half a minute of four trainers.
+	// Sequence: steps end one after the other, and all their results are held.
+	// Cause: nothing but the end of the time for which they can be read freed them.
+	ta := tableOf(t, 1, "a")
+	for i := range 4 {
+		id := fmt.Sprint("step-", i)
+		st := stepOf(id, 1)
+		st.Accepted = begin.Add(time.Duration(i) * time.Second)
+		ta.Accept(st, Kept{}, false, begin)
+		ta.Listed([]Chunk{{Step: id, Results: []Result{{Item: id + "-0-0", Text: make([]byte, cachedResults/2)}}}})
+		ta.End(id)
+	}
+	ta.Forget(time.Hour, begin)
+	held := map[string]int{}
+	for id, sr := range ta.steps {
+		held[id] = len(sr.results)
+	}
+	assert.DeepEqual(t, held, map[string]int{"step-0": 0, "step-1": 0, "step-2": 1, "step-3": 1})
+}
