--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -29,6 +29,7 @@
 	status   int
 	stream   io.ReadCloser // instead of body, on streaming routes
 	took     time.Duration
+	tried    map[string]bool // endpoints that the request went to, if it was not served
 }
 
 // final reports whether the result answers the caller.
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -84,7 +86,10 @@
 		return
 	}
 	fo.count("failed")
-	lo.WithFields(logrus.Fields{"error": re.err, "not-run": re.notRun}).Warn("not served")
+	lo.WithFields(logrus.Fields{
+		"error": re.err, "not-run": re.notRun, "tried": slices.Sorted(maps.Keys(re.tried)),
+		"version": fo.Directory.Configuration().Version,
+	}).Warn("not served")
 	if re.notRun {
 		refuse(rw, http.StatusServiceUnavailable, fullRetry)
 		return
@@ -126,7 +131,7 @@
 	for running > 0 {
 		select {
 		case <-ctx.Done():
-			return &result{endpoint: last.endpoint, err: ctx.Err()}
+			return &result{endpoint: last.endpoint, err: ctx.Err(), tried: tried}
 		case <-hedge.C:
 			if rq.repeatable() && fo.another(rq, tried, "slow") {
 				launch()
@@ -146,6 +151,7 @@
 	if last.notRun && ran {
 		last = &result{endpoint: last.endpoint, err: errBroken}
 	}
+	last.tried = tried
 	return last
 }
 
--- a/telemetry/bounded.go
+++ b/telemetry/bounded.go
@@ -72,3 +72,7 @@
 
 // Written returns how many lines were written.
 func (bw *BoundedWriter) Written() uint64 { return bw.written.Load() }
+
+// Close ends the writing once what waits is written. Nothing may be written
+// after it.
+func (bw *BoundedWriter) Close() { close(bw.lines) }
