--- a/directory/feed.go
+++ b/directory/feed.go
@@ -56,7 +56,10 @@
 	end := time.Now().Add(feedWait)
 	for {
 		generation, age, known := fo.Directory.confirmed(time.Now())
-		if !fo.direct() || !known || age > feedAge {
+		switch {
+		case !fo.direct() || !known:
+			return FeedResponse{}, ErrNotFeeder
+		case age > feedAge:
 			return FeedResponse{}, errors.Wrapf(ErrNotFeeder, "endpoints are %s old", age)
 		}
 		if rq.Boot != boot || rq.Generation != generation {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -91,12 +91,21 @@
 		"version": fo.Directory.Configuration().Version,
 	}).Warn("not served")
 	if re.notRun {
-		refuse(rw, http.StatusServiceUnavailable, fullRetry)
+		refuse(rw, http.StatusServiceUnavailable, fo.refusedRetry())
 		return
 	}
 	refuse(rw, http.StatusGatewayTimeout, 0)
 }
 
+// refusedRetry returns when a caller may come back whose request no endpoint
+// took: soon if they were full, later if this entry doesn't know them yet.
+func (fo *Forwarder) refusedRetry() time.Duration {
+	if !fo.Directory.Ready() {
+		return configurationRetry
+	}
+	return fullRetry
+}
+
 // run sends a request to endpoints in turn until one answers it. A repeatable
 // one that waits longer than usual goes to a second one meanwhile.
 func (fo *Forwarder) run(ctx context.Context, rq *request) *result {
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -171,6 +171,9 @@
 	de := deploy(t, directory.Route{Kind: directory.Once, MaxAttempts: 5}, full, full)
 	status, _, header := de.ask(t, http.MethodPost, "/", "line")
 	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, header.Get("Retry-After"), "0.5", "endpoints have not been read yet")
+	de.forwarder.Directory.SetEndpoints(de.forwarder.Directory.Endpoints(""), time.Now())
+	_, _, header = de.ask(t, http.MethodPost, "/", "line")
 	assert.Equal(t, header.Get("Retry-After"), "0.05")
 }
 
--- a/step/checkpoint.go
+++ b/step/checkpoint.go
@@ -1,6 +1,8 @@
 package step
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"wisteriacroft/runner"
@@ -51,22 +53,35 @@
 	return cps
 }
 
+// checkpoint returns what a step's runs have made since its last checkpoint, as
+// far as one value holds it. Those with the most to lose go first: in the order
+// of the step, the last ones would never have their turn.
 func (sr *stepRow) checkpoint() Checkpoint {
-	cp := Checkpoint{Number: sr.checkpoints, Step: sr.step.ID}
-	size := 0
+	var irs []*itemRow
 	for _, ir := range sr.items {
-		if ir.state != running && ir.state != waiting || len(ir.events)-ir.saved < checkpointEvents || size > partSize/2 {
-			continue
+		if (ir.state == running || ir.state == waiting) && ir.unsaved() >= checkpointEvents {
+			irs = append(irs, ir)
 		}
+	}
+	slices.SortStableFunc(irs, func(a, b *itemRow) int { return cmp.Compare(b.unsaved(), a.unsaved()) })
+	cp := Checkpoint{Number: sr.checkpoints, Step: sr.step.ID}
+	size := 0
+	for _, ir := range irs {
 		pa := Partial{Events: ir.events[ir.saved:], First: ir.saved, Item: ir.item.ID}
 		for _, ev := range pa.Events {
 			size += len(ev.Data)
 		}
+		if size > partSize && len(cp.Partials) > 0 {
+			break
+		}
 		cp.Partials = append(cp.Partials, pa)
 	}
 	return cp
 }
 
+// unsaved returns how many of an item's events are in no checkpoint.
+func (ir *itemRow) unsaved() int { return len(ir.events) - ir.saved }
+
 // Saved takes in that checkpoints are kept.
 func (ta *Table) Saved(cps []Checkpoint) {
 	for _, cp := range cps {
--- a/step/table_test.go
+++ b/step/table_test.go
@@ -410,3 +410,34 @@
 	}
 	assert.DeepEqual(t, held, map[string]int{"step-0": 0, "step-1": 0, "step-2": 1, "step-3": 1})
 }
+
+func TestCheckpointsTakeTurns(t *testing.T) {
+	// Symptom: after a loss of power some long items go on from seconds ago, and
+	// always the same ones from far back.
+	// Sequence: more text is made in a second than one value holds.
+	// Cause: items were taken in the order of their step, the last ones never.
+	ta := tableOf(t, 1, "a")
+	ta.Accept(stepOf("s", 2), Kept{}, false, begin)
+	ta.Place(begin)
+	big := func(from, to int) []runner.Event {
+		evs := events(from, to, 1)
+		for i := range evs {
+			evs[i].Data = make([]byte, partSize/checkpointEvents)
+		}
+		return evs
+	}
+	saved := map[string]bool{}
+	for second := range 2 {
+		var prs []runner.Progress
+		for item := range 2 {
+			_, key := keyOf(t, ta, "s", item)
+			prs = append(prs, runner.Progress{Events: big(1, (second+1)*checkpointEvents), Key: key})
+		}
+		hear(ta, "a", runner.ExchangeResponse{Runs: prs}, begin)
+		cps := ta.Checkpoints(begin.Add(time.Duration(second+1) * checkpointEvery))
+		assert.Equal(t, len(cps[0].Partials), 1)
+		saved[cps[0].Partials[0].Item] = true
+		ta.Saved(cps)
+	}
+	assert.Equal(t, len(saved), 2)
+}
