--- a/cmd/platformattendantcmd.go
+++ b/cmd/platformattendantcmd.go
@@ -14,15 +14,11 @@
 )
 
 // A PlatformAttendantCmd runs an attendant on the platform.
-type PlatformAttendantCmd struct{}
+type PlatformAttendantCmd struct{ PlatformFlags }
 
 // Run serves until ctx ends.
-func (*PlatformAttendantCmd) Run(ctx context.Context, out Output) error {
-	ho, err := newHost("attendant", out.Stdout)
-	if err != nil {
-		return err
-	}
-	return ho.run(ctx, fx.Invoke(ho.startAttendant))
+func (pc *PlatformAttendantCmd) Run(ctx context.Context, out Output) error {
+	return pc.serve(ctx, out, "attendant", func(ho *host) fx.Option { return fx.Invoke(ho.startAttendant) })
 }
 
 // startAttendant builds an attendant.
--- a/cmd/platformcmd.go
+++ b/cmd/platformcmd.go
@@ -1,5 +1,13 @@
 package cmd
 
+import (
+	"context"
+
+	"go.uber.org/fx"
+
+	"wisteriacroft/platform"
+)
+
 // A PlatformCmd holds the roles as they run on the users' platform, which
 // writes their settings itself.
 type PlatformCmd struct {
@@ -7,3 +15,18 @@
 	Entry     PlatformEntryCmd     `cmd:"" help:"Serve callers and trainers."`
 	Scheduler PlatformSchedulerCmd `cmd:"" help:"Place and list the items of trainers' steps."`
 }
+
+// PlatformFlags are the flags of the roles on the platform.
+type PlatformFlags struct {
+	Check bool `help:"Read the settings, report all findings and end without starting."`
+}
+
+// serve runs a role until ctx ends.
+func (pf PlatformFlags) serve(ctx context.Context, out Output, role string, build func(ho *host) fx.Option) error {
+	se, err := platform.LoadSettings()
+	if err != nil || pf.Check {
+		return err
+	}
+	ho := newHost(role, se, out.Stdout)
+	return ho.run(ctx, build(ho))
+}
--- a/cmd/platformentrycmd.go
+++ b/cmd/platformentrycmd.go
@@ -34,15 +34,11 @@
 )
 
 // A PlatformEntryCmd runs an entry on the platform.
-type PlatformEntryCmd struct{}
+type PlatformEntryCmd struct{ PlatformFlags }
 
 // Run serves until ctx ends.
-func (*PlatformEntryCmd) Run(ctx context.Context, out Output) error {
-	ho, err := newHost("entry", out.Stdout)
-	if err != nil {
-		return err
-	}
-	return ho.run(ctx, fx.Invoke(ho.startEntry))
+func (pc *PlatformEntryCmd) Run(ctx context.Context, out Output) error {
+	return pc.serve(ctx, out, "entry", func(ho *host) fx.Option { return fx.Invoke(ho.startEntry) })
 }
 
 // startEntry builds an entry.
--- a/cmd/platformhost.go
+++ b/cmd/platformhost.go
@@ -54,12 +54,8 @@
 	store     *keyvalue.Client
 }
 
-// newHost reads the settings and returns what a role is built of.
-func newHost(role string, out io.Writer) (*host, error) {
-	se, err := platform.LoadSettings()
-	if err != nil {
-		return nil, err
-	}
+// newHost returns what a role is built of.
+func newHost(role string, se platform.Settings, out io.Writer) *host {
 	applyMemory(se)
 	writer := telemetry.NewBoundedWriter(out)
 	logger := logrus.New()
@@ -83,7 +79,7 @@
 		},
 		settings: se,
 		store:    store,
-	}, nil
+	}
 }
 
 // Bounds of connections between the system's processes, which are a few
--- a/cmd/platformschedulercmd.go
+++ b/cmd/platformschedulercmd.go
@@ -27,15 +27,11 @@
 )
 
 // A PlatformSchedulerCmd runs a scheduler on the platform.
-type PlatformSchedulerCmd struct{}
+type PlatformSchedulerCmd struct{ PlatformFlags }
 
 // Run serves until ctx ends.
-func (*PlatformSchedulerCmd) Run(ctx context.Context, out Output) error {
-	ho, err := newHost("scheduler", out.Stdout)
-	if err != nil {
-		return err
-	}
-	return ho.run(ctx, fx.Invoke(ho.startScheduler))
+func (pc *PlatformSchedulerCmd) Run(ctx context.Context, out Output) error {
+	return pc.serve(ctx, out, "scheduler", func(ho *host) fx.Option { return fx.Invoke(ho.startScheduler) })
 }
 
 // startScheduler builds a scheduler.
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -37,6 +37,9 @@
 	minHedge = 40 * time.Millisecond
 )
 
+// requestField is the field of log lines that holds a request's id.
+const requestField = "request"
+
 // A Forwarder serves live requests. Fill the exported fields before use.
 type Forwarder struct {
 	Directory *directory.Directory
@@ -76,7 +79,7 @@
 func (fo *Forwarder) serveWhole(ctx context.Context, rw http.ResponseWriter, rq *request) {
 	re := fo.run(ctx, rq)
 	lo := fo.Log.WithFields(logrus.Fields{
-		"endpoint": re.endpoint.ID, "ms": time.Since(rq.received).Milliseconds(), "request": rq.id,
+		"endpoint": re.endpoint.ID, "ms": time.Since(rq.received).Milliseconds(), requestField: rq.id,
 		"route": rq.route.Name, "status": re.status,
 	})
 	if re.err == nil && !re.notRun {
@@ -173,7 +176,7 @@
 		Deadline: rq.deadline, Number: len(tried), Repeatable: true,
 	})
 	fo.Log.WithFields(logrus.Fields{
-		"allowed": ok, "attempts": len(tried), "request": rq.id, "why": why,
+		"allowed": ok, "attempts": len(tried), requestField: rq.id, "why": why,
 	}).Info("another attempt")
 	return ok
 }
@@ -189,7 +192,7 @@
 	case re.err != nil, re.status == http.StatusMisdirectedRequest:
 		penalty := fo.table.Failed(id, now)
 		fo.Log.WithFields(logrus.Fields{
-			"endpoint": id, "error": re.err, "penalty": penalty.String(), "request": rq.id, "status": re.status,
+			"endpoint": id, "error": re.err, "penalty": penalty.String(), requestField: rq.id, "status": re.status,
 		}).Warn("endpoint failed")
 	default:
 		lo, ok := parseLoad(re.header.Get(fo.Headers.Load))
@@ -204,7 +207,7 @@
 func (fo *Forwarder) reject(rw http.ResponseWriter, hr *http.Request, rj *rejection) {
 	fo.Log.WithFields(logrus.Fields{
 		"host": hr.Host, "path": hr.URL.Path, "reason": rj.reason,
-		"request": hr.Header.Get(fo.Headers.RequestID), "status": rj.status,
+		requestField: hr.Header.Get(fo.Headers.RequestID), "status": rj.status,
 	}).Warn("rejected")
 	fo.count("rejected")
 	refuse(rw, rj.status, rj.retryAfter)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -65,7 +65,7 @@
 	pacer    pacer
 	report   Report
 	reportAt time.Time
-	root     context.Context
+	begin    func() (context.Context, context.CancelFunc) // of a run
 	runs     map[Key]*run
 }
 
@@ -73,7 +73,7 @@
 func (rn *Runner) Run(ctx context.Context) {
 	rn.mu.Lock()
 	rn.init()
-	rn.root = ctx
+	rn.begin = func() (context.Context, context.CancelFunc) { return context.WithCancel(ctx) }
 	rn.mu.Unlock()
 	ti := time.NewTicker(reportEvery)
 	defer ti.Stop()
@@ -110,7 +110,7 @@
 		rn.begun = time.Now()
 		rn.boot = uuid.NewString()
 		rn.kick = make(chan struct{}, 1)
-		rn.root = context.Background()
+		rn.begin = func() (context.Context, context.CancelFunc) { return context.WithCancel(context.Background()) }
 		rn.runs = map[Key]*run{}
 	}
 }
@@ -212,7 +212,7 @@
 		return
 	}
 	rn.dropOldest()
-	ctx, cancel := context.WithCancel(rn.root)
+	ctx, cancel := rn.begin()
 	ru := &run{cancel: cancel, endpoint: la.Endpoint, events: slices.Clone(la.Prior), key: la.Key, seen: len(la.Prior)}
 	rn.runs[la.Key] = ru
 	go rn.execute(ctx, ru, la)
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -18,8 +18,6 @@
 	cut      int // events after which a stream breaks; 0 never
 	length   int // events of an item
 	lose     int // orders that are carried out without an answer
-	loads    time.Time
-	model    string
 	report   Report
 	skip     int64 // event that is left out
 	starts   []Launch
--- a/step/door.go
+++ b/step/door.go
@@ -48,7 +48,7 @@
 	for try := 1; ; try++ {
 		err := do.write(ctx, acceptMethod, *st, func(ctx context.Context) error { return do.Keeper.Accept(ctx, st) })
 		unsure = unsure || err != nil && !notWritten(err)
-		do.Log.WithFields(logrus.Fields{"error": err, "step": st.ID, "try": try, "unsure": unsure}).Info("step handed in")
+		do.Log.WithFields(logrus.Fields{"error": err, stepField: st.ID, "try": try, "unsure": unsure}).Info("step handed in")
 		switch {
 		case err == nil:
 			return nil
--- a/step/engines.go
+++ b/step/engines.go
@@ -44,7 +44,7 @@
 				versions: map[string]uint64{},
 			}
 			ta.engines[in.ID] = en
-			ta.log("engine joined", map[string]any{"engine": in.ID, "service": in.Service})
+			ta.log("engine joined", map[string]any{engineField: in.ID, "service": in.Service})
 		}
 		en.address, en.domain, en.service = in.Address, in.Domain, in.Service
 		en.slots, en.tokens = in.Slots, in.Tokens
@@ -175,7 +175,7 @@
 		return // it was the one before this
 	}
 	en.gone = true
-	ta.log("engine was replaced", map[string]any{"by": actual, "engine": en.id, "items": len(en.items)})
+	ta.log("engine was replaced", map[string]any{"by": actual, engineField: en.id, "items": len(en.items)})
 	ta.drop(en, "engine was replaced", now)
 }
 
@@ -249,7 +249,7 @@
 		ir.run = run{confirmed: true, engine: en.id, eventAt: now, key: pr.Key}
 		en.items[pr.Key] = ir
 		ta.log("run taken over", map[string]any{
-			"attempt": pr.Key.Attempt, "engine": en.id, "events": len(pr.Events), "item": pr.Key.Item, "step": pr.Key.Step,
+			"attempt": pr.Key.Attempt, engineField: en.id, "events": len(pr.Events), itemField: pr.Key.Item, stepField: pr.Key.Step,
 		})
 		return true
 	}
@@ -288,6 +288,6 @@
 }
 
 func (ta *Table) giveUp(ir *itemRow, why string, now time.Time) {
-	ta.log("item given up", map[string]any{"item": ir.item.ID, "step": ir.step.step.ID, "why": why})
+	ta.log("item given up", map[string]any{itemField: ir.item.ID, stepField: ir.step.step.ID, "why": why})
 	ta.settle(ir, lost, now)
 }
--- a/step/listing.go
+++ b/step/listing.go
@@ -122,7 +122,7 @@
 		sr.idle = sr.idle || all
 		sr.wake()
 		ta.log("results listed", map[string]any{
-			"chunk": ch.Number, "listed": len(sr.results), "step": ch.Step, "total": len(sr.step.Items),
+			"chunk": ch.Number, "listed": len(sr.results), stepField: ch.Step, "total": len(sr.step.Items),
 		})
 	}
 }
--- a/step/pace.go
+++ b/step/pace.go
@@ -75,7 +75,7 @@
 	}
 	if !en.slow(now) {
 		ta.log("engine is slow", map[string]any{
-			"engine": en.id, "gaps": en.report.PaceGaps, "median-ms": median.Milliseconds(),
+			engineField: en.id, "gaps": en.report.PaceGaps, "median-ms": median.Milliseconds(),
 			"pace-ms": en.report.Pace.Milliseconds(), "report-ms": now.Sub(en.heardAt).Milliseconds(),
 		})
 	}
@@ -125,9 +125,9 @@
 	ir.target = to.id
 	to.reserved++
 	ta.log("run moved", map[string]any{
-		"attempt": ir.run.key.Attempt, "engine": from.id, "events": len(ir.events), "item": ir.item.ID,
+		"attempt": ir.run.key.Attempt, engineField: from.id, "events": len(ir.events), itemField: ir.item.ID,
 		"pace-ms": from.report.Pace.Milliseconds(), "quiet-ms": now.Sub(ir.run.eventAt).Milliseconds(),
-		"step": ir.step.step.ID, "to": to.id, "why": why,
+		stepField: ir.step.step.ID, "to": to.id, "why": why,
 	})
 }
 
--- a/step/place.go
+++ b/step/place.go
@@ -277,8 +277,8 @@
 	}
 	en.items[ir.run.key] = ir
 	ta.log("item placed", map[string]any{
-		"after": len(ir.events), "attempt": ta.attempt, "engine": en.id, "free": en.free(), "item": ir.item.ID,
-		"report-ms": now.Sub(en.heardAt).Milliseconds(), "step": ir.step.step.ID, "version": version,
+		"after": len(ir.events), "attempt": ta.attempt, engineField: en.id, "free": en.free(), itemField: ir.item.ID,
+		"report-ms": now.Sub(en.heardAt).Milliseconds(), stepField: ir.step.step.ID, "version": version,
 	})
 }
 
--- a/step/scheduler.go
+++ b/step/scheduler.go
@@ -291,7 +291,7 @@
 		cancel()
 		if (err != nil) != failed {
 			failed = err != nil
-			sc.Log.WithFields(logrus.Fields{"dependency": "attendant", "engine": id, "error": err, "lost": failed}).Warn("dependency changed")
+			sc.Log.WithFields(logrus.Fields{"dependency": "attendant", engineField: id, "error": err, "lost": failed}).Warn("dependency changed")
 		}
 		if errors.Is(err, runner.ErrOldEpoch) {
 			sc.Holder.Forfeit(te.epoch)
@@ -573,7 +573,7 @@
 	sc.mu.Unlock()
 	for _, id := range ids {
 		if err := sc.Keeper.Drop(ctx, id); err != nil {
-			sc.Log.WithError(err).WithField("step", id).Warn("old step can't be dropped")
+			sc.Log.WithError(err).WithField(stepField, id).Warn("old step can't be dropped")
 		}
 	}
 }
--- a/step/table.go
+++ b/step/table.go
@@ -189,7 +189,7 @@
 	slices.SortStableFunc(ta.order, func(a, b *stepRow) int { return a.step.Accepted.Compare(b.step.Accepted) })
 	ta.log("step accepted", map[string]any{
 		"groups": len(sr.groups), "items": len(st.Items), "listed": len(sr.results), "min-version": st.MinVersion,
-		"number": st.Number, "step": st.ID, "target": st.Groups,
+		"number": st.Number, stepField: st.ID, "target": st.Groups,
 	})
 }
 
@@ -234,7 +234,7 @@
 		return
 	}
 	sr.ended, sr.idle = true, true
-	ta.log("step ended", map[string]any{"listed": len(sr.results), "step": id, "total": len(sr.step.Items)})
+	ta.log("step ended", map[string]any{"listed": len(sr.results), stepField: id, "total": len(sr.step.Items)})
 	for _, ir := range sr.items {
 		ta.release(ir)
 		ta.unreserve(ir)
@@ -272,8 +272,8 @@
 // requeue lets an item wait for a place again.
 func (ta *Table) requeue(ir *itemRow, why string, now time.Time) {
 	ta.log("run given up", map[string]any{
-		"attempt": ir.run.key.Attempt, "engine": ir.run.engine, "events": len(ir.events), "item": ir.item.ID,
-		"step": ir.step.step.ID, "why": why,
+		"attempt": ir.run.key.Attempt, engineField: ir.run.engine, "events": len(ir.events), itemField: ir.item.ID,
+		stepField: ir.step.step.ID, "why": why,
 	})
 	ir.unwanted = ir.run.engine
 	ta.release(ir)
--- a/step/weights.go
+++ b/step/weights.go
@@ -71,7 +71,7 @@
 			have[en.model]--
 			have[model]++
 			en.model = model
-			ta.log("engine assigned", map[string]any{"engine": en.id, "engines": have[model], "model": model})
+			ta.log("engine assigned", map[string]any{engineField: en.id, "engines": have[model], "model": model})
 		}
 	}
 }
@@ -164,7 +164,7 @@
 		en.order = &runner.Order{Endpoint: en.id, Fence: ta.epoch, Keep: !single, Model: model, Version: version}
 		en.orderAt, en.ordered = now, false
 		ta.log("weights ordered", map[string]any{
-			"engine": en.id, "from": en.versions[model], "items": len(en.items), "model": model,
+			engineField: en.id, "from": en.versions[model], "items": len(en.items), "model": model,
 			"version": version,
 		})
 	}
