--- /dev/null
+++ b/cmd/soakcmd.go
@@ -0,0 +1,62 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wisteriacroft/soak"
+)
+
+// errSoak means that a soak saw a broken promise.
+var errSoak = errors.New("a promise was broken; see the report and the logs")
+
+// A SoakCmd runs the real programs before stand-ins, under faults from outside.
+type SoakCmd struct {
+	Dir     string        `help:"Folder for settings and logs." placeholder:"DIR" required:""`
+	Engines int           `default:"6" help:"Engines, with an attendant each."`
+	Entries int           `default:"3" help:"Entries."`
+	For     time.Duration `default:"20s" help:"How long faults are injected."`
+	Quiet   bool          `help:"Inject no faults."`
+	Seed    uint64        `default:"1" help:"First seed."`
+	Seeds   int           `default:"1" help:"Seeds, one after the other."`
+}
+
+// Run runs the seeds until ctx ends, and prints a report of each.
+func (sc *SoakCmd) Run(ctx context.Context, stdout io.Writer) error {
+	binary, err := os.Executable()
+	if err != nil {
+		return errors.Wrap(err, "own program")
+	}
+	broken := false
+	for seed := sc.Seed; seed < sc.Seed+uint64(sc.Seeds) && ctx.Err() == nil; seed++ {
+		re, err := soak.Run(ctx, soak.Options{
+			Binary: binary, Dir: filepath.Join(sc.Dir, fmt.Sprint("seed-", seed)), Engines: sc.Engines,
+			Entries: sc.Entries, Length: sc.For, Quiet: sc.Quiet, Seed: seed,
+		})
+		if err != nil {
+			return err
+		}
+		line, err := json.Marshal(struct {
+			Seed uint64 `json:"seed"`
+			soak.Report
+		}{seed, re})
+		if err != nil {
+			return errors.Wrap(err, "report")
+		}
+		if _, err := fmt.Fprintf(stdout, "%s\n", line); err != nil {
+			return errors.Wrap(err, "report")
+		}
+		broken = broken || len(re.Violations) > 0
+	}
+	if broken {
+		return errSoak
+	}
+	return nil
+}
--- /dev/null
+++ b/soak/fault.go
@@ -0,0 +1,106 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+
+	"wisteriacroft/keyvalue"
+)
+
+// A fault does something and undoes it after a time.
+type fault struct {
+	name string
+	do   func()
+	undo func() // nil if there is nothing to undo
+}
+
+// injectAll injects faults for a time; they come in series and overlap.
+func (rn *run) injectAll(ctx context.Context, length time.Duration) {
+	end := time.Now().Add(length)
+	var undos []func()
+	for !rn.opts.Quiet && time.Now().Before(end) && ctx.Err() == nil {
+		fa := rn.draw()
+		rn.note(fa.name)
+		fa.do()
+		if fa.undo != nil {
+			timer := time.AfterFunc(time.Duration(rn.rng.IntN(5000))*time.Millisecond, fa.undo)
+			undos = append(undos, func() {
+				timer.Stop()
+				fa.undo()
+			})
+		}
+		sleep(ctx, time.Duration(100+rn.rng.IntN(1500))*time.Millisecond)
+	}
+	for _, undo := range undos {
+		undo()
+	}
+	if rn.opts.Quiet {
+		sleep(ctx, length)
+	}
+}
+
+func (rn *run) note(name string) {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	rn.report.Faults = append(rn.report.Faults, fmt.Sprintf("%.1f %s", time.Since(rn.begun).Seconds(), name))
+}
+
+// draw draws a fault.
+func (rn *run) draw() fault {
+	pg := rn.world.programs[rn.rng.IntN(len(rn.world.programs))]
+	switch rn.rng.IntN(10) {
+	case 0:
+		return fault{name: "kill " + pg.name, do: func() { pg.signal(syscall.SIGKILL) }}
+	case 1:
+		return fault{name: "terminate " + pg.name, do: func() { pg.signal(syscall.SIGTERM) }}
+	case 2:
+		return fault{name: "hang up " + pg.name, do: func() { pg.signal(syscall.SIGHUP) }}
+	case 3:
+		return fault{
+			name: "pause " + pg.name,
+			do:   func() { pg.signal(syscall.SIGSTOP) }, undo: func() { pg.signal(syscall.SIGCONT) },
+		}
+	case 4:
+		return spoil("store of "+pg.name, pg.store, rn.rng.IntN(int(modes)))
+	case 5:
+		at := rn.rng.IntN(len(rn.world.proxies))
+		return spoil(fmt.Sprint("endpoint ", at), rn.world.proxies[at], rn.rng.IntN(int(modes)))
+	case 6:
+		return rn.outage()
+	case 7:
+		st := rn.world.store
+		return fault{name: "store loses answers", do: func() { st.LoseAnswers.Store(true) }, undo: func() { st.LoseAnswers.Store(false) }}
+	case 8:
+		return fault{name: "store forgets", do: rn.world.store.Memory.Forget}
+	default:
+		en := rn.world.engines[rn.rng.IntN(len(rn.world.engines))]
+		return fault{name: "slow " + en.ID, do: func() { en.Slow(5) }, undo: func() { en.Slow(1) }}
+	}
+}
+
+// spoil makes a proxy misbehave; in the mode that passes, it resets what is
+// open.
+func spoil(name string, pr *proxy, how int) fault {
+	mo := mode(how)
+	if mo == pass {
+		return fault{name: "reset " + name, do: pr.reset}
+	}
+	return fault{
+		name: modeNames[mo] + " " + name, do: func() { pr.set(mo) }, undo: func() {
+			pr.set(pass)
+			pr.reset() // what was held back is lost
+		},
+	}
+}
+
+// outage takes the whole store away or makes it slow.
+func (rn *run) outage() fault {
+	me := &rn.world.store.Memory
+	set := func(fa keyvalue.Faults) func() { return func() { me.SetFaults(fa) } }
+	if rn.rng.IntN(2) == 0 {
+		return fault{name: "store slow", do: set(keyvalue.Faults{Delay: 200 * time.Millisecond}), undo: set(keyvalue.Faults{})}
+	}
+	return fault{name: "store away", do: set(keyvalue.Faults{Outage: true}), undo: set(keyvalue.Faults{})}
+}
--- /dev/null
+++ b/soak/proxy.go
@@ -0,0 +1,144 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// A mode is what a proxy does to the bytes that pass it.
+type mode int32
+
+// The modes of a proxy.
+const (
+	pass    mode = iota
+	delay        // bytes come late
+	silence      // bytes are held back both ways, connections stay open
+	oneWay       // answers are held back
+	refuse       // new connections are reset
+	modes        // their number
+)
+
+var modeNames = [...]string{pass: "pass", delay: "delay", silence: "silence", oneWay: "one-way", refuse: "refuse"}
+
+// proxyDelay is by how much a proxy delays bytes: some 50 times the way between
+// failure domains.
+const proxyDelay = 60 * time.Millisecond
+
+// A proxy passes connections on to a target, and spoils them as told.
+type proxy struct {
+	conns    map[net.Conn]bool
+	listener net.Listener
+	mode     atomic.Int32
+	mu       sync.Mutex
+	target   string
+}
+
+// startProxy listens at an address, whose port may be 0.
+func startProxy(address, target string) (*proxy, error) {
+	li, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	pr := &proxy{conns: map[net.Conn]bool{}, listener: li, target: target}
+	go pr.accept()
+	return pr, nil
+}
+
+func (pr *proxy) address() string { return pr.listener.Addr().String() }
+
+func (pr *proxy) set(mo mode) { pr.mode.Store(int32(mo)) }
+
+// reset resets all open connections.
+func (pr *proxy) reset() {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	for co := range pr.conns {
+		resetConn(co)
+	}
+}
+
+func (pr *proxy) close() {
+	_ = pr.listener.Close()
+	pr.reset()
+}
+
+func resetConn(co net.Conn) {
+	if tc, ok := co.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0) // so that the close is a reset
+	}
+	_ = co.Close()
+}
+
+func (pr *proxy) accept() {
+	for {
+		co, err := pr.listener.Accept()
+		if err != nil {
+			return
+		}
+		if mode(pr.mode.Load()) == refuse {
+			resetConn(co)
+			continue
+		}
+		go pr.serve(co)
+	}
+}
+
+func (pr *proxy) serve(near net.Conn) {
+	far, err := net.Dial("tcp", pr.target)
+	if err != nil {
+		resetConn(near)
+		return
+	}
+	pr.track(near, far, true)
+	defer pr.track(near, far, false)
+	done := make(chan struct{}, 2)
+	go func() {
+		pr.copy(far, near, false)
+		done <- struct{}{}
+	}()
+	go func() {
+		pr.copy(near, far, true)
+		done <- struct{}{}
+	}()
+	<-done
+	resetConn(near)
+	_ = far.Close()
+	<-done
+}
+
+func (pr *proxy) track(near, far net.Conn, open bool) {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	for _, co := range []net.Conn{near, far} {
+		if open {
+			pr.conns[co] = true
+		} else {
+			delete(pr.conns, co)
+		}
+	}
+}
+
+// copy passes bytes on one way; answers tells which.
+func (pr *proxy) copy(to io.Writer, from io.Reader, answers bool) {
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		for held(mode(pr.mode.Load()), answers) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if mode(pr.mode.Load()) == delay {
+			time.Sleep(proxyDelay)
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func held(mo mode, answers bool) bool { return mo == silence || mo == oneWay && answers }
--- /dev/null
+++ b/soak/world.go
@@ -0,0 +1,237 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wisteriacroft/platform/standin"
+)
+
+// Names and sizes of the soaked deployment.
+const (
+	deskService   = "desk"
+	engineService = "engines"
+	host          = "soak.example"
+	model         = "model"
+	peerPort      = 7300
+	enginePort    = 8000
+	schedulers    = 3
+	desks         = 3
+	slots         = 8
+	heartbeat     = time.Second
+)
+
+// A world is everything that the soaked programs meet, and the programs.
+type world struct {
+	desks    []*standin.Desk
+	engines  []*standin.Engine
+	programs []*program
+	proxies  []*proxy // to engines and desks
+	servers  []*http.Server
+	store    *standin.Store
+	subnet   string
+
+	cancel context.CancelFunc
+	beats  sync.WaitGroup
+	silent sync.Map // endpoints that don't register
+}
+
+// ip returns the loopback address of an instance; each has its own, as the
+// ports are the same on all.
+func (wo *world) ip(kind, number int) string {
+	return fmt.Sprintf("127.%s.%d.%d", wo.subnet, kind, number+1)
+}
+
+func newWorld(opts Options) (*world, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	wo := &world{cancel: cancel, store: &standin.Store{}, subnet: fmt.Sprint(40 + opts.Seed%200)}
+	address, err := wo.serve(wo.ip(9, 0)+":9000", wo.store.Handler())
+	if err == nil {
+		err = wo.build(ctx, opts, address)
+	}
+	if err != nil {
+		wo.close()
+		return nil, err
+	}
+	return wo, nil
+}
+
+func (wo *world) build(ctx context.Context, opts Options, store string) error {
+	for i := range desks {
+		de := &standin.Desk{ID: fmt.Sprint("desk-", i)}
+		wo.desks = append(wo.desks, de)
+		if err := wo.register(ctx, de.ID, deskService, wo.ip(1, i), de, nil); err != nil {
+			return err
+		}
+	}
+	for i := range opts.Engines {
+		en := &standin.Engine{
+			Gap: 20 * time.Millisecond, ID: fmt.Sprint("engine-", i), Length: lengthOf, Load: 300 * time.Millisecond,
+			Model: model, Slots: slots, Text: textOf,
+		}
+		wo.engines = append(wo.engines, en)
+		if err := wo.register(ctx, en.ID, engineService, wo.ip(2, i), en, en); err != nil {
+			return err
+		}
+	}
+	if err := wo.configure(ctx); err != nil {
+		return err
+	}
+	for i := range schedulers {
+		if err := wo.launch(opts, "scheduler", i, wo.ip(3, i), store, ""); err != nil {
+			return err
+		}
+	}
+	for i := range opts.Entries {
+		if err := wo.launch(opts, "entry", i, wo.ip(4, i), store, ""); err != nil {
+			return err
+		}
+	}
+	for i := range opts.Engines {
+		app := fmt.Sprintf("%s:%d", wo.ip(2, i), enginePort)
+		if err := wo.launch(opts, "attendant", i, wo.ip(2, i), store, app); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serve serves a handler at an address.
+func (wo *world) serve(address string, ha http.Handler) (string, error) {
+	li, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", errors.Wrap(err, "soak")
+	}
+	sv := &http.Server{Handler: ha, ReadHeaderTimeout: time.Minute}
+	wo.servers = append(wo.servers, sv)
+	go func() { _ = sv.Serve(li) }() // ends with the world
+	return li.Addr().String(), nil
+}
+
+// register serves an endpoint behind a proxy, and keeps its entry in the store.
+func (wo *world) register(ctx context.Context, id, service, ip string, ha http.Handler, en *standin.Engine) error {
+	target, err := wo.serve(ip+":0", ha)
+	if err != nil {
+		return err
+	}
+	pr, err := startProxy(fmt.Sprintf("%s:%d", ip, enginePort), target)
+	if err != nil {
+		return errors.Wrap(err, "soak")
+	}
+	wo.proxies = append(wo.proxies, pr)
+	wo.beats.Go(func() {
+		for ctx.Err() == nil {
+			if _, hidden := wo.silent.Load(id); !hidden {
+				wo.beat(ctx, id, service, pr.address(), en)
+			}
+			sleep(ctx, heartbeat)
+		}
+	})
+	return nil
+}
+
+func (wo *world) beat(ctx context.Context, id, service, address string, en *standin.Engine) {
+	entry := map[string]any{
+		"address": address, "service": service, "slots": slots, "state": "ready", "zone": "a",
+	}
+	if en != nil {
+		entry["models"] = []map[string]any{{"name": model, "version": en.Version()}}
+	}
+	wo.put(ctx, "servers/"+id, entry)
+}
+
+// put writes a key of the platform's own.
+func (wo *world) put(ctx context.Context, key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // built of strings and numbers
+	}
+	cl := wo.store.Memory.Client()
+	for ctx.Err() == nil {
+		it, _ := cl.Get(ctx, key) // version 0 if it isn't there
+		if string(it.Value) == string(data) {
+			return
+		}
+		if _, err := cl.Put(ctx, key, data, it.Version, 0); err == nil {
+			return
+		}
+		sleep(ctx, 20*time.Millisecond)
+	}
+}
+
+func (wo *world) configure(ctx context.Context) error {
+	route := func(name, kind, service string) map[string]any {
+		return map[string]any{
+			"name": name, "host": host, "prefix": "/" + name + "/", "kind": kind, "service": service, "timeout_ms": 3000,
+			"goal_ms": 500, "max_attempts": 3, "max_wait_s": 120, "due_ms": 8000, "resumable": true,
+		}
+	}
+	wo.put(ctx, "op/config", map[string]any{
+		"version": 1,
+		"routes": []map[string]any{
+			route("safe", "safe", deskService), route("once", "unsafe", deskService), route("steps", "rollout", engineService),
+		},
+		"services": []map[string]any{
+			{"name": deskService},
+			{"name": engineService, "engine": map[string]any{"slots": slots, "models": []map[string]any{{"name": model}}}},
+		},
+		"limits": map[string]any{"max_body_bytes": 1 << 20},
+	})
+	return ctx.Err()
+}
+
+func (wo *world) launch(opts Options, role string, number int, ip, store, app string) error {
+	pr, err := startProxy(wo.ip(8, len(wo.programs))+":0", store)
+	if err != nil {
+		return errors.Wrap(err, "soak")
+	}
+	name := fmt.Sprintf("%s-%d", role, number)
+	pg := &program{
+		dir: opts.Dir, ip: ip, name: name, role: role, store: pr,
+		settings: settingsOf(name, ip, "a", pr.address(), app, peerPort),
+	}
+	wo.programs = append(wo.programs, pg)
+	return pg.run(opts.Binary)
+}
+
+// close ends all that the world started.
+func (wo *world) close() {
+	wo.cancel()
+	for _, pg := range wo.programs {
+		if pg.cmd != nil {
+			pg.stop()
+		}
+		pg.store.close()
+	}
+	for _, pr := range wo.proxies {
+		pr.close()
+	}
+	for _, sv := range wo.servers {
+		_ = sv.Close()
+	}
+	wo.beats.Wait()
+}
+
+// lengthOf returns how many events an item has: most a few, some many.
+func lengthOf(item string) int {
+	ha := fnv.New32a()
+	_, _ = ha.Write([]byte(item))
+	sum := int(ha.Sum32())
+	if sum%10 == 0 {
+		return 60 + sum%60
+	}
+	return 3 + sum%20
+}
+
+// textOf returns the data of an event, from which everything can be checked.
+func textOf(item string, event int, version uint64) string {
+	return fmt.Sprintf("%s/%d/%d", item, event, version)
+}
