--- a/soak/program.go
+++ b/soak/program.go
@@ -28,6 +28,9 @@
 	stopped bool // for good
 }
 
+// programName is the name under which the program is started.
+const programName = "wisteriacroft"
+
 // restartPause is how long the platform takes to start a process again.
 const restartPause = 300 * time.Millisecond
 
@@ -69,6 +72,7 @@
 		return errors.Wrap(err, "log")
 	}
 	cmd := exec.Command(binary, "platform", pg.role)
+	cmd.Args[0] = programName // a test's binary stands for the program under its name
 	cmd.Env = []string{"WISTERIACROFT_NODE_FILE=" + settings, "GOMAXPROCS=1"}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
