--- a/step/engines.go
+++ b/step/engines.go
@@ -41,6 +41,7 @@
 		if en == nil {
 			en = &engineRow{
 				forget: map[runner.Key]bool{}, id: in.ID, items: map[runner.Key]*itemRow{}, joinedAt: now,
+				kept:     map[runner.Key]*itemRow{},
 				versions: map[string]uint64{},
 			}
 			ta.engines[in.ID] = en
@@ -104,6 +105,9 @@
 			rq.Stops = append(rq.Stops, key)
 		}
 	}
+	for key, ir := range en.kept {
+		rq.Seen = append(rq.Seen, runner.Seen{Events: len(ir.events), Key: key})
+	}
 	for key := range en.forget {
 		rq.Forget = append(rq.Forget, key)
 	}
@@ -194,6 +198,9 @@
 
 // progress takes what an attendant says of a run in.
 func (ta *Table) progress(en *engineRow, pr runner.Progress, now time.Time) {
+	if en.kept[pr.Key] != nil {
+		return
+	}
 	ir, ok := en.items[pr.Key]
 	if !ok {
 		if !ta.adopt(en, pr, now) {
@@ -213,7 +220,7 @@
 			ta.requeue(ir, "no text", now)
 			return
 		}
-		ta.release(ir)
+		ta.keep(ir)
 		ta.settle(ir, complete, now)
 	case runner.Impossible:
 		ta.release(ir)
--- a/step/listing.go
+++ b/step/listing.go
@@ -113,7 +113,10 @@
 		}
 		all := true
 		for _, ir := range sr.items {
-			ir.listed = ir.listed || positions[ir.item.ID]
+			if positions[ir.item.ID] {
+				ir.listed = true
+				ta.letGo(ir)
+			}
 			if ir.listed && sr.groups[ir.item.Group].left == 0 {
 				ir.events = nil // the text stands in the results
 			}
--- a/step/pace.go
+++ b/step/pace.go
@@ -100,7 +100,7 @@
 	for _, sr := range ta.order {
 		for _, ir := range sr.items {
 			en := ta.engines[ir.run.engine]
-			if en == nil || ir.run.stopping || !ir.run.confirmed || ir.moves >= maxMoves {
+			if en == nil || ir.state != running || ir.run.stopping || !ir.run.confirmed || ir.moves >= maxMoves {
 				continue
 			}
 			why := en.reasonToMove(ir, now)
--- a/step/scheduler.go
+++ b/step/scheduler.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"wisteriacroft/directory"
 	"wisteriacroft/keyvalue"
@@ -363,17 +364,21 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	kept := map[string]Kept{}
+	var mu sync.Mutex
+	var gr errgroup.Group
 	for _, st := range accepted {
 		if in.ended[st.ID] || !in.scanned[st.ID] {
 			continue // a step that has just been accepted has nothing yet
 		}
-		ke, err := sc.Keeper.Kept(ctx, st.ID)
-		if err != nil {
-			return nil, err
-		}
-		kept[st.ID] = ke
-	}
-	return kept, nil
+		gr.Go(func() error {
+			ke, err := sc.Keeper.Kept(ctx, st.ID)
+			mu.Lock()
+			defer mu.Unlock()
+			kept[st.ID] = ke
+			return err
+		})
+	}
+	return kept, gr.Wait()
 }
 
 func (sc *Scheduler) takeIntake(
--- a/step/table.go
+++ b/step/table.go
@@ -79,6 +79,7 @@
 	foreign  int  // requests of others that it runs
 	gone     bool // another answers at its address
 	items    map[runner.Key]*itemRow
+	kept     map[runner.Key]*itemRow // whole, and held by the attendant until they are listed
 	leaving  bool
 	model    string        // whose newest versions it loads
 	order    *runner.Order // wanted, until it holds
@@ -264,6 +265,31 @@
 	}
 	if en, ok := ta.engines[ir.run.engine]; ok {
 		delete(en.items, ir.run.key)
+		delete(en.kept, ir.run.key)
+		en.forget[ir.run.key] = true
+	}
+	ir.run = run{}
+}
+
+// keep takes an item that is whole off its engine, whose attendant holds the
+// text until it is listed.
+//
+// Results can't be listed while the key-value service is away. Forgotten by the
+// attendant, the text would be in this scheduler's memory alone, and made again
+// by the next one.
+func (ta *Table) keep(ir *itemRow) {
+	en := ta.engines[ir.run.engine]
+	if en == nil {
+		return
+	}
+	delete(en.items, ir.run.key)
+	en.kept[ir.run.key] = ir
+}
+
+// letGo lets the attendant forget an item's run, if it holds one.
+func (ta *Table) letGo(ir *itemRow) {
+	if en := ta.engines[ir.run.engine]; en != nil && en.kept[ir.run.key] == ir {
+		delete(en.kept, ir.run.key)
 		en.forget[ir.run.key] = true
 	}
 	ir.run = run{}
--- a/step/table_test.go
+++ b/step/table_test.go
@@ -441,3 +441,24 @@
 	}
 	assert.Equal(t, len(saved), 2)
 }
+
+func TestWholeItemsOutliveTheScheduler(t *testing.T) {
+	// Symptom: items that were whole are made again from the start.
+	// Sequence: they end while the key-value service is away, so that they can't
+	// be listed; the scheduler loses its lease.
+	// Cause: attendants were let forget a run when it ended, not when it was
+	// listed.
+	ta := tableOf(t, 1, "a")
+	ta.Accept(stepOf("s", 1), Kept{}, false, begin)
+	ta.Place(begin)
+	end(ta, t, "s", 0, runner.Complete, events(1, 2, 1), begin)
+	key := runner.Key{Attempt: ta.attempt, Item: "s-0-0", Step: "s"}
+	again := runner.ExchangeResponse{Runs: []runner.Progress{{First: 2, Key: key, State: runner.Complete}}}
+	hear(ta, "a", again, begin)
+	rq, _ := ta.Request("a")
+	assert.Equal(t, len(rq.Forget), 0, "not listed")
+	assert.DeepEqual(t, rq.Seen, []runner.Seen{{Events: 2, Key: key}})
+	ta.Listed(ta.Due(begin.Add(time.Hour)))
+	rq, _ = ta.Request("a")
+	assert.DeepEqual(t, rq.Forget, []runner.Key{key})
+}
