--- a/step/pace.go
+++ b/step/pace.go
@@ -34,6 +34,13 @@
 	// moveCost is how much sooner a run must end elsewhere to be moved: the move
 	// itself takes some 150 ms, and its prompt holds up the others there.
 	moveCost = 400 * time.Millisecond
+	// crowdedPart and roomyPart are the parts of an engine's memory above which
+	// a run is moved away, and below which it may come. Eight runs fill 3% in the
+	// time that a move takes.
+	crowdedPart = 0.88
+	roomyPart   = 0.6
+	// memoryReason is why a run leaves an engine that is short of memory.
+	memoryReason = "short of memory"
 	// maxMoves bounds how often an item is moved: a moved run reads its whole
 	// text again.
 	maxMoves = 4
@@ -114,9 +121,44 @@
 	}
 }
 
+// Relieve moves a run off each engine whose memory is nearly full, if another
+// engine has plenty.
+//
+// Load pattern: several long items grow on one engine. Out of memory, it stops
+// its newest run and reads it again once there is room: 176 times on a loaded
+// day, each a stall of a second or more. The run that holds most is moved, since
+// it frees most; at most one at a time.
+func (ta *Table) Relieve(now time.Time) {
+	for _, en := range ta.sorted {
+		if held, _ := en.memory(); en.tokens == 0 || float64(held) < crowdedPart*float64(en.tokens) {
+			continue
+		}
+		if ir := en.largest(); ir != nil {
+			ta.move(ir, en, memoryReason, now)
+		}
+	}
+}
+
+// largest returns the run that holds most of an engine's memory and may be
+// moved, or nil if one is on its way already.
+func (en *engineRow) largest() *itemRow {
+	var best *itemRow
+	most := 0
+	for _, ir := range en.items {
+		if ir.run.stopping {
+			return nil
+		}
+		held, _ := ir.holds()
+		if ir.run.confirmed && ir.moves < maxMoves && (held > most || held == most && best != nil && ir.item.ID < best.item.ID) {
+			best, most = ir, held
+		}
+	}
+	return best
+}
+
 // move stops a run if another engine would end it sooner.
 func (ta *Table) move(ir *itemRow, from *engineRow, why string, now time.Time) {
-	to := ta.target(ir, from, now)
+	to := ta.target(ir, from, why, now)
 	if to == nil {
 		return
 	}
@@ -132,13 +174,18 @@
 }
 
 // target returns the engine that a run is best moved to, or nil.
-func (ta *Table) target(ir *itemRow, from *engineRow, now time.Time) *engineRow {
+func (ta *Table) target(ir *itemRow, from *engineRow, why string, now time.Time) *engineRow {
 	var best *engineRow
 	for _, en := range ta.sorted {
 		if en == from || en.slow(now) || !ta.usable(en, ir) || en.free() <= sparePlaces || !en.fits(ir) {
 			continue
 		}
-		if !from.stalled(ir, now) && gain(ir, from, en) < moveCost {
+		switch {
+		case why == memoryReason:
+			if !en.roomy(ir) {
+				continue
+			}
+		case !from.stalled(ir, now) && gain(ir, from, en) < moveCost:
 			continue
 		}
 		if best == nil || ta.rank(en, ir, now) > ta.rank(best, ir, now) {
@@ -148,6 +195,13 @@
 	return best
 }
 
+// roomy reports whether an engine would have plenty of memory beside an item.
+func (en *engineRow) roomy(ir *itemRow) bool {
+	now, _ := en.memory()
+	added, _ := ir.holds()
+	return float64(now+added) <= roomyPart*float64(en.tokens)
+}
+
 // gain returns how much sooner a run would end at another engine.
 func gain(ir *itemRow, from, to *engineRow) time.Duration {
 	if from.pace == 0 || to.pace == 0 {
--- a/step/replay_test.go
+++ b/step/replay_test.go
@@ -313,6 +313,7 @@
 		ta.GiveUp(re.now)
 		if !re.baseline {
 			ta.Move(re.now)
+			ta.Relieve(re.now)
 		}
 		ta.Place(re.now)
 		ta.Weights(re.now)
--- a/step/scheduler.go
+++ b/step/scheduler.go
@@ -192,6 +192,7 @@
 	ta.GiveUp(now)
 	if st == lease.Held && now.Sub(te.freshAt) < intakeWait+intakeSlack {
 		ta.Move(now)
+		ta.Relieve(now)
 		ta.Place(now)
 		ta.Weights(now)
 	}
