--- a/cmd/platformentrycmd.go
+++ b/cmd/platformentrycmd.go
@@ -13,6 +13,7 @@
 	roleprocess "wisteriacroft/process"
 	"wisteriacroft/retry"
 	"wisteriacroft/step"
+	"wisteriacroft/tick"
 )
 
 const (
@@ -57,7 +58,9 @@
 	}
 	ga := &gateway{handler: su.Handler()}
 	background(lc, ho.follower(func() bool { return false }).Run)
-	background(lc, func(ctx context.Context) { every(ctx, expireEvery, fo.Expire) })
+	background(lc, (&tick.Loop{
+		Every: expireEvery, Systems: []tick.System{{Name: "expire", Run: func(time.Time) { fo.Expire() }}},
+	}).Run)
 	ho.serveMetrics(lc)
 	sv := &http.Server{Handler: roleprocess.CloseWhile(ga.stopping.Load, ga), ReadHeaderTimeout: headerTimeout}
 	serve(lc, ho.settings.CallerAddress, sv, func(ctx context.Context) error {
@@ -76,20 +79,6 @@
 	serve(lc, ho.settings.ReadyAddress, ready, func(context.Context) error { return nil })
 }
 
-// every calls fn at an interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, fn func()) {
-	ti := time.NewTicker(interval)
-	defer ti.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ti.C:
-			fn()
-		}
-	}
-}
-
 // A gateway counts the requests that run.
 type gateway struct {
 	handler  http.Handler
--- a/soak/program.go
+++ b/soak/program.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"os/exec"
@@ -71,7 +72,7 @@
 	if err != nil {
 		return errors.Wrap(err, "log")
 	}
-	cmd := exec.Command(binary, "platform", pg.role)
+	cmd := exec.CommandContext(context.Background(), binary, "platform", pg.role)
 	cmd.Args[0] = programName // a test's binary stands for the program under its name
 	cmd.Env = []string{"WISTERIACROFT_NODE_FILE=" + settings, "GOMAXPROCS=1"}
 	cmd.Stdout, cmd.Stderr = log, log
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -38,7 +39,8 @@
 
 // startProxy listens at an address, whose port may be 0.
 func startProxy(address, target string) (*proxy, error) {
-	li, err := net.Listen("tcp", address)
+	var lc net.ListenConfig
+	li, err := lc.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -87,7 +89,7 @@
 }
 
 func (pr *proxy) serve(near net.Conn) {
-	far, err := net.Dial("tcp", pr.target)
+	far, err := (&net.Dialer{Timeout: time.Second}).DialContext(context.Background(), "tcp", pr.target)
 	if err != nil {
 		resetConn(near)
 		return
--- a/soak/world.go
+++ b/soak/world.go
@@ -27,6 +27,7 @@
 	desks         = 3
 	slots         = 8
 	heartbeat     = time.Second
+	nameKey       = "name" // of services, routes and models in JSON
 )
 
 // A world is everything that the soaked programs meet, and the programs.
@@ -106,7 +107,8 @@
 
 // serve serves a handler at an address.
 func (wo *world) serve(address string, ha http.Handler) (string, error) {
-	li, err := net.Listen("tcp", address)
+	var lc net.ListenConfig
+	li, err := lc.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return "", errors.Wrap(err, "soak")
 	}
@@ -143,7 +145,7 @@
 		"address": address, "service": service, "slots": slots, "state": "ready", "zone": "a",
 	}
 	if en != nil {
-		entry["models"] = []map[string]any{{"name": model, "version": en.Version()}}
+		entry["models"] = []map[string]any{{nameKey: model, "version": en.Version()}}
 	}
 	wo.put(ctx, "servers/"+id, entry)
 }
@@ -170,7 +172,7 @@
 func (wo *world) configure(ctx context.Context) error {
 	route := func(name, kind, service string) map[string]any {
 		return map[string]any{
-			"name": name, "host": host, "prefix": "/" + name + "/", "kind": kind, "service": service, "timeout_ms": 3000,
+			nameKey: name, "host": host, "prefix": "/" + name + "/", "kind": kind, "service": service, "timeout_ms": 3000,
 			"goal_ms": 500, "max_attempts": 3, "max_wait_s": 120, "due_ms": 8000, "resumable": true,
 		}
 	}
@@ -180,8 +182,8 @@
 			route("safe", "safe", deskService), route("once", "unsafe", deskService), route("steps", "rollout", engineService),
 		},
 		"services": []map[string]any{
-			{"name": deskService},
-			{"name": engineService, "engine": map[string]any{"slots": slots, "models": []map[string]any{{"name": model}}}},
+			{nameKey: deskService},
+			{nameKey: engineService, "engine": map[string]any{"slots": slots, "models": []map[string]any{{nameKey: model}}}},
 		},
 		"limits": map[string]any{"max_body_bytes": 1 << 20},
 	})
--- /dev/null
+++ b/step/exchange.go
@@ -0,0 +1,76 @@
+package step
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"wisteriacroft/peer"
+	"wisteriacroft/runner"
+)
+
+// wantsExchange reports whether an attendant must hear something at once.
+func (ta *Table) wantsExchange(id string) bool {
+	en, ok := ta.engines[id]
+	if !ok {
+		return false
+	}
+	for _, ir := range en.items {
+		if !ir.run.confirmed || ir.run.stopping {
+			return true
+		}
+	}
+	return en.order != nil && en.order.Version > 0 && !en.ordered
+}
+
+func notify(kick chan struct{}) {
+	select {
+	case kick <- struct{}{}:
+	default:
+	}
+}
+
+// exchangeWith makes one exchange after the other with an attendant, until its
+// engine is gone or the term ends.
+func (sc *Scheduler) exchangeWith(te *term, id, address string, kick chan struct{}) {
+	failed := false
+	for {
+		sc.mu.Lock()
+		rq, ok := te.table.Request(id)
+		open := te.table.Open()
+		if !ok || sc.term != te {
+			delete(te.exchange, id)
+			sc.mu.Unlock()
+			return
+		}
+		sc.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+		re, err := peer.Call[runner.ExchangeRequest, runner.ExchangeResponse](ctx, sc.Pool, address, runner.ExchangeMethod, rq)
+		cancel()
+		if (err != nil) != failed {
+			failed = err != nil
+			sc.Log.WithFields(logrus.Fields{"dependency": "attendant", engineField: id, "error": err, "lost": failed}).Warn("dependency changed")
+		}
+		if errors.Is(err, runner.ErrOldEpoch) {
+			sc.Holder.Forfeit(te.epoch)
+		}
+		if err == nil {
+			sc.mu.Lock()
+			te.table.Heard(id, rq, re, time.Now())
+			sc.mu.Unlock()
+		}
+		pause := exchangeEvery
+		switch {
+		case err != nil:
+			pause = retryAfter
+		case !open:
+			pause = idleExchange
+		}
+		select {
+		case <-kick:
+		case <-time.After(pause):
+		}
+	}
+}
--- /dev/null
+++ b/step/follow.go
@@ -0,0 +1,107 @@
+package step
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"wisteriacroft/keyvalue"
+)
+
+// follow reads what earlier schedulers wrote and then follows the steps that
+// are accepted and ended.
+func (sc *Scheduler) follow(ctx context.Context, te *term) {
+	var in intake
+	var after int64
+	scan := true
+	for ctx.Err() == nil {
+		ch, err := sc.nextIntake(ctx, after, scan)
+		switch {
+		case errors.Is(err, keyvalue.ErrHistoryGone):
+			scan = true
+			continue
+		case err != nil:
+			sc.Log.WithError(err).Warn("steps can't be followed")
+			pause(ctx, retryAfter)
+			continue
+		}
+		accepted, ended := in.apply(ch.Items, scan)
+		kept, err := sc.kept(ctx, &in, accepted)
+		if err != nil {
+			sc.Log.WithError(err).Warn("what is kept of steps can't be read")
+			in = intake{} // read all again
+			after, scan = 0, true
+			pause(ctx, retryAfter)
+			continue
+		}
+		sc.takeIntake(te, &in, accepted, ended, kept)
+		after, scan = max(after, ch.Version), false
+	}
+}
+
+func (sc *Scheduler) nextIntake(ctx context.Context, after int64, scan bool) (keyvalue.Changes, error) {
+	if scan {
+		ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+		defer cancel()
+		return sc.Keeper.Client.Scan(ctx, intakePrefix)
+	}
+	ctx, cancel := context.WithTimeout(ctx, intakeWait+intakeSlack)
+	defer cancel()
+	return sc.Keeper.Client.Follow(ctx, intakePrefix, after, intakeWait)
+}
+
+// kept reads what earlier schedulers kept of steps that are open. The results
+// of those that have ended are read when someone asks.
+func (sc *Scheduler) kept(ctx context.Context, in *intake, accepted []*Step) (map[string]Kept, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	kept := map[string]Kept{}
+	var mu sync.Mutex
+	var gr errgroup.Group
+	for _, st := range accepted {
+		if in.ended[st.ID] || !in.scanned[st.ID] {
+			continue // a step that has just been accepted has nothing yet
+		}
+		gr.Go(func() error {
+			ke, err := sc.Keeper.Kept(ctx, st.ID)
+			mu.Lock()
+			defer mu.Unlock()
+			kept[st.ID] = ke
+			return err
+		})
+	}
+	return kept, gr.Wait()
+}
+
+func (sc *Scheduler) takeIntake(
+	te *term, in *intake, accepted []*Step, ended []string, kept map[string]Kept,
+) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	now := time.Now()
+	for _, st := range accepted {
+		te.table.Accept(st, kept[st.ID], in.ended[st.ID], now)
+	}
+	for _, id := range ended {
+		te.table.End(id)
+	}
+	if !te.ready {
+		te.ready = true
+		sc.Log.WithFields(logrus.Fields{"epoch": te.epoch, "open": len(te.table.order), "steps": len(in.steps)}).Info("scheduler is ready")
+	}
+	te.freshAt = now
+	if len(accepted) > 0 {
+		sc.Metrics.GetOrCreateCounter(`wisteriacroft_steps_accepted_total`).Add(len(accepted))
+	}
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
--- /dev/null
+++ b/step/read.go
@@ -0,0 +1,109 @@
+package step
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// current returns the term, if this process runs the steps.
+func (sc *Scheduler) current() (*term, error) {
+	if sc.term == nil || !sc.term.ready {
+		return nil, errNotScheduler
+	}
+	return sc.term, nil
+}
+
+// read returns results, after waiting for one if need be.
+func (sc *Scheduler) read(ctx context.Context, rq ReadRequest) (Listing, error) {
+	end := time.Now().Add(rq.Wait)
+	for {
+		sc.mu.Lock()
+		te, err := sc.current()
+		if err != nil {
+			sc.mu.Unlock()
+			return Listing{}, err
+		}
+		sr, ok := te.table.steps[rq.ID]
+		if !ok {
+			sc.mu.Unlock()
+			return sc.Keeper.Read(ctx, rq) // not held any longer, or never accepted
+		}
+		if sr.ended && len(sr.results) == 0 && !sr.loaded {
+			sc.mu.Unlock()
+			return sc.readEnded(ctx, te, sr, rq)
+		}
+		li := sr.listing(rq.After)
+		changed, idle := sr.changed, sr.idle
+		sc.mu.Unlock()
+		left := time.Until(end)
+		if len(li.Results) > 0 || idle || left <= 0 {
+			return li, nil
+		}
+		select {
+		case <-ctx.Done():
+			return Listing{}, ctx.Err()
+		case <-changed:
+		case <-time.After(left):
+		}
+	}
+}
+
+// readEnded reads the results of a step that ended before this scheduler's term.
+func (sc *Scheduler) readEnded(ctx context.Context, te *term, sr *stepRow, rq ReadRequest) (Listing, error) {
+	chunks, err := sc.Keeper.Listed(ctx, rq.ID)
+	if err != nil {
+		return Listing{}, errors.Wrapf(ErrUnsure, "%v", err)
+	}
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	if sc.term == te && !sr.loaded {
+		sr.loaded = true
+		for _, chunk := range chunks {
+			sr.results = append(sr.results, chunk...)
+		}
+	}
+	return sr.listing(rq.After), nil
+}
+
+// maxListing bounds the text of one answer, in bytes: an answer may have 1 MB,
+// and its encoding takes some more.
+const maxListing = 800 << 10
+
+// listing returns results from a position on.
+func (sr *stepRow) listing(after int) Listing {
+	return page(sr.results, after, len(sr.step.Items))
+}
+
+func page(results []Result, after, total int) Listing {
+	li := Listing{Total: total}
+	size := 0
+	for _, re := range results[min(max(after, 0), len(results)):] {
+		if size += len(re.Text); size > maxListing && len(li.Results) > 0 {
+			break
+		}
+		li.Results = append(li.Results, re)
+	}
+	return li
+}
+
+// body returns an item's body.
+func (sc *Scheduler) body(ctx context.Context, rq BodyRequest) (BodyResponse, error) {
+	sc.mu.Lock()
+	te, err := sc.current()
+	if err != nil {
+		sc.mu.Unlock()
+		return BodyResponse{}, err
+	}
+	sr, ok := te.table.steps[rq.Step]
+	sc.mu.Unlock()
+	if ok {
+		return sr.step.body(rq.Item), nil
+	}
+	st, err := sc.Keeper.Load(ctx, rq.Step)
+	if err != nil {
+		return BodyResponse{}, err
+	}
+	return st.body(rq.Item), nil
+}
--- a/step/step.go
+++ b/step/step.go
@@ -53,3 +53,13 @@
 	Results []Result
 	Total   int // items of the step
 }
+
+// body returns the body of an item, if the step has it.
+func (st *Step) body(item string) BodyResponse {
+	for i := range st.Items {
+		if st.Items[i].ID == item {
+			return BodyResponse{Body: st.Items[i].Body, Found: true}
+		}
+	}
+	return BodyResponse{}
+}
--- /dev/null
+++ b/step/write.go
@@ -0,0 +1,53 @@
+package step
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wisteriacroft/keyvalue"
+)
+
+// write writes results and checkpoints while the term lasts, one update at a
+// time. One whose outcome is not known is repeated as it was.
+func (sc *Scheduler) write(ctx context.Context, te *term) {
+	var up Update
+	for ctx.Err() == nil {
+		if up.empty() {
+			sc.mu.Lock()
+			up = te.table.Update(time.Now())
+			sc.mu.Unlock()
+		}
+		if up.empty() {
+			pause(ctx, tickEvery)
+			continue
+		}
+		done, err := sc.writeOnce(ctx, te, up)
+		switch {
+		case done:
+			sc.mu.Lock()
+			te.table.Written(up)
+			sc.mu.Unlock()
+			up = Update{}
+		case errors.Is(err, keyvalue.ErrConflict):
+			sc.Log.WithError(err).Warn("results were not listed: the lease is gone")
+			sc.Holder.Forfeit(te.epoch)
+			return
+		default:
+			sc.Log.WithError(err).Warn("results can't be listed")
+			pause(ctx, retryAfter)
+		}
+	}
+}
+
+func (sc *Scheduler) writeOnce(ctx context.Context, te *term, up Update) (bool, error) {
+	fence, ok := sc.Holder.Fence(te.epoch)
+	if !ok {
+		return false, keyvalue.ErrConflict
+	}
+	defer sc.Metrics.GetOrCreateHistogram(`wisteriacroft_list_seconds`).UpdateDuration(time.Now())
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	return sc.Keeper.Write(ctx, fence, up)
+}
