--- a/step/keep.go
+++ b/step/keep.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -319,6 +318,3 @@
 	in.steps[id] = st
 	return st
 }
-
-// age returns how long ago a step was accepted, by the wall clock.
-func (st *Step) age(now time.Time) time.Duration { return now.Round(0).Sub(st.Accepted.Round(0)) }
--- a/step/place.go
+++ b/step/place.go
@@ -145,7 +145,7 @@
 	for _, sr := range ta.order {
 		for _, ir := range sr.items {
 			if ir.state == waiting {
-				ir.spare = sr.step.Due - sr.step.age(now) - ir.expectedTime()
+				ir.spare = sr.step.Due - sr.age(now) - ir.expectedTime()
 				irs = append(irs, ir)
 			}
 		}
@@ -285,7 +285,7 @@
 // GiveUp gives items up that may no longer be waited for.
 func (ta *Table) GiveUp(now time.Time) {
 	for _, sr := range ta.order {
-		if sr.step.MaxWait <= 0 || sr.step.age(now) < sr.step.MaxWait+giveUpSlack {
+		if sr.step.MaxWait <= 0 || sr.age(now) < sr.step.MaxWait+giveUpSlack {
 			continue
 		}
 		for _, ir := range sr.items {
@@ -297,6 +297,6 @@
 	}
 }
 
-// giveUpSlack is how much longer an item is waited for than it must be, for
-// clocks of instances that differ.
+// giveUpSlack is how much longer an item is waited for than it must be. The
+// service may hold a step for as long before the scheduler learns of it.
 const giveUpSlack = 3 * time.Second
--- a/step/step.go
+++ b/step/step.go
@@ -24,14 +24,14 @@
 
 // A Step is a trainer's request for samples.
 type Step struct {
-	Accepted      time.Time     // by the wall clock of the entry that accepted it
-	Due           time.Duration // after Accepted
+	Accepted      time.Time     // by the time of day of the entry that accepted it, which may be wrong; orders steps only
+	Due           time.Duration // after its submission
 	Groups        int           // complete groups that the trainer waits for
 	Host          string
 	ID            string
 	Items         []Item
 	MaxAttempts   int           // answers that an item failed, after which it is given up
-	MaxWait       time.Duration // after Accepted, an item may be given up
+	MaxWait       time.Duration // after its submission, an item may be given up
 	MinVersion    uint64        // oldest version of the weights that may generate
 	Model         string
 	Number        int
--- a/step/table.go
+++ b/step/table.go
@@ -57,6 +57,7 @@
 
 // A stepRow is a step that the scheduler holds.
 type stepRow struct {
+	seenAt      time.Time // this scheduler learned of it
 	step        *Step
 	ended       bool
 	groups      map[string]*groupRow
@@ -143,6 +144,13 @@
 	return ta
 }
 
+// age returns for how long this scheduler has known the step.
+//
+// The time of acceptance is another instance's time of day, which may be a
+// minute off: by it, items were given up that had waited for seconds. What this
+// scheduler's own clock says is never more than the true age.
+func (sr *stepRow) age(now time.Time) time.Duration { return now.Sub(sr.seenAt) }
+
 // A Kept is what earlier schedulers kept of a step.
 type Kept struct {
 	Checkpoints []Checkpoint
@@ -154,7 +162,7 @@
 	if _, ok := ta.steps[st.ID]; ok {
 		return
 	}
-	sr := &stepRow{step: st, ended: ended, groups: map[string]*groupRow{}, changed: make(chan struct{}), idle: ended}
+	sr := &stepRow{seenAt: now, step: st, ended: ended, groups: map[string]*groupRow{}, changed: make(chan struct{}), idle: ended}
 	ta.steps[st.ID] = sr
 	positions := map[string]bool{}
 	for _, chunk := range ke.Listed {
@@ -310,13 +318,13 @@
 func (ta *Table) Forget(keep time.Duration, now time.Time) []string {
 	var ids []string
 	for id, sr := range ta.steps {
-		if sr.ended && sr.step.age(now) > keep {
+		if sr.ended && sr.age(now) > keep {
 			delete(ta.steps, id)
 			ids = append(ids, id)
 		}
 	}
 	for id, ir := range ta.reuse {
-		if ir.step.step.age(now) > reuseTime {
+		if ir.step.age(now) > reuseTime {
 			delete(ta.reuse, id)
 			delete(ta.lengths, id)
 		}
--- a/step/takeover_test.go
+++ b/step/takeover_test.go
@@ -168,3 +168,18 @@
 	rq, _ := ta.Request("old")
 	assert.Equal(t, len(rq.Forget), 0)
 }
+
+func TestClocksThatDiffer(t *testing.T) {
+	// Symptom: items are given up seconds after they came.
+	// Sequence: a step is accepted by an entry whose time of day is a minute
+	// behind; or the scheduler's own jumps a minute ahead.
+	// Cause: the age of a step was taken from two clocks.
+	ta := tableOf(t, 1, "a")
+	st := stepOf("s", 3)
+	st.Accepted, st.MaxWait = begin.Add(-time.Minute), 40*time.Second
+	ta.Accept(st, Kept{}, false, begin)
+	ta.GiveUp(begin.Add(time.Second))
+	for _, ir := range ta.steps["s"].items {
+		assert.Equal(t, ir.state, waiting)
+	}
+}
