--- a/step/listing.go
+++ b/step/listing.go
@@ -1,6 +1,7 @@
 package step
 
 import (
+	"slices"
 	"time"
 )
 
@@ -9,6 +10,14 @@
 	// groupWait is how long a whole group waits for others, so that one write
 	// lists several. Trainers read about twice a second.
 	groupWait = 150 * time.Millisecond
+	// holdEvents and holdTime say when results wait for an item that is about to
+	// end: it has so few events left to its bound, some 300 ms, and they wait no
+	// longer. After each answer a trainer comes again half a second later; what
+	// is listed just before the last result makes it miss that one. By the replay
+	// a step takes 7.67 s instead of 7.72 s on engines of one pace, and 7.81 s
+	// instead of 7.93 s while two of them are silent.
+	holdEvents = 8
+	holdTime   = 400 * time.Millisecond
 	// itemWait is how long a result of a group that isn't whole waits.
 	itemWait = 1200 * time.Millisecond
 	// maxChunks bounds the steps of one write: each takes an expectation and a
@@ -27,8 +36,17 @@
 	return chunks
 }
 
+// holds reports whether an item of the step is about to end.
+func (sr *stepRow) holds() bool {
+	return slices.ContainsFunc(sr.items, func(ir *itemRow) bool {
+		bound := (ir.item.Tokens - ir.item.Prompt) / eventTokens
+		return ir.state == running && bound > 0 && bound-len(ir.events) <= holdEvents
+	})
+}
+
 // due reports whether a step has results that have waited long enough.
 func (sr *stepRow) due(now time.Time) bool {
+	hold := sr.holds()
 	whole, left := 0, 0
 	for _, gr := range sr.groups {
 		if gr.left == 0 {
@@ -43,6 +61,7 @@
 		}
 		gr := sr.groups[ir.item.Group]
 		switch {
+		case hold && now.Sub(ir.doneAt) < holdTime:
 		case gr.left == 0 && whole >= sr.step.Groups:
 			return true // the trainer waits for no more than these
 		case gr.left == 0 && now.Sub(gr.doneAt) >= groupWait:
--- a/step/replay_test.go
+++ b/step/replay_test.go
@@ -187,6 +187,18 @@
 	first map[string]bool
 
 	inTime int // groups that were whole when the step was due
+	read   int // results
+	readAt time.Time
+}
+
+// reads reports whether the trainer reads new results now: it waits for them,
+// and after each answer comes again half a second later.
+func (ss *simStep) reads(now time.Time) bool {
+	if now.Sub(ss.readAt) < 500*time.Millisecond || len(ss.row.results) == ss.read {
+		return false
+	}
+	ss.read, ss.readAt = len(ss.row.results), now
+	return true
 }
 
 func (tr *simTrainer) length() int {
@@ -252,6 +264,10 @@
 }
 
 func (tr *simTrainer) finish(re *replay, ss *simStep) bool {
+	took := re.now.Sub(ss.asked)
+	if !ss.reads(re.now) && took < 12*time.Second {
+		return false
+	}
 	listed := map[string]int{}
 	for _, it := range ss.row.results {
 		listed[it.Item[:len(it.Item)-len("-0")]]++
@@ -265,7 +281,6 @@
 			}
 		}
 	}
-	took := re.now.Sub(ss.asked)
 	if ss.inTime < whole && took <= tr.due+700*time.Millisecond {
 		ss.inTime = whole
 	}
@@ -321,9 +336,7 @@
 			ta.Listed(chunks)
 		}
 		re.trainer.ask(re)
-		if tick%10 == 0 {
-			re.trainer.look(re)
-		}
+		re.trainer.look(re)
 	}
 }
 
