--- a/cmd/platformentrycmd.go
+++ b/cmd/platformentrycmd.go
@@ -62,15 +62,13 @@
 		Every: expireEvery, Systems: []tick.System{{Name: "expire", Run: func(time.Time) { fo.Expire() }}},
 	}).Run)
 	ho.serveMetrics(lc)
-	sv := &http.Server{Handler: roleprocess.CloseWhile(ga.stopping.Load, ga), ReadHeaderTimeout: headerTimeout}
+	sv := roleprocess.NewHTTPServer(roleprocess.CloseWhile(ga.stopping.Load, ga))
 	serve(lc, ho.settings.CallerAddress, sv, func(ctx context.Context) error {
 		ga.drain(ctx)
 		return sv.Shutdown(ctx)
 	})
-	ready := &http.Server{
-		Handler:           platform.Readiness(func() bool { return !ga.stopping.Load() && ho.directory.Ready() }),
-		ReadHeaderTimeout: headerTimeout,
-	}
+	ready := roleprocess.NewHTTPServer(
+		platform.Readiness(func() bool { return !ga.stopping.Load() && ho.directory.Ready() }))
 	// Stops last, so that the balancer hears that the entry is not ready.
 	lc.Append(fx.Hook{OnStop: func(context.Context) error {
 		ga.stopping.Store(true)
--- a/cmd/platformhost.go
+++ b/cmd/platformhost.go
@@ -23,6 +23,7 @@
 	"wisteriacroft/message"
 	"wisteriacroft/peer"
 	"wisteriacroft/platform"
+	roleprocess "wisteriacroft/process"
 	"wisteriacroft/step"
 	"wisteriacroft/telemetry"
 )
@@ -36,9 +37,6 @@
 	// are.
 	metricsPath = "/metrics"
 	metricsPort = "9464"
-	// headerTimeout bounds how long a caller may take over a request's head,
-	// whose limit the operator sets lower.
-	headerTimeout = 10 * time.Second
 	// shutdownPart is the part of the grace that a role may use.
 	shutdownPart = 0.85
 )
@@ -191,7 +189,7 @@
 		ip = ho.settings.PeerAddress
 	}
 	ad := &telemetry.Admin{Set: ho.metrics}
-	sv := &http.Server{Handler: ad.Handler(), ReadHeaderTimeout: headerTimeout}
+	sv := roleprocess.NewHTTPServer(ad.Handler())
 	serve(lc, net.JoinHostPort(ip, metricsPort), sv, sv.Shutdown)
 }
 
@@ -200,7 +198,7 @@
 	ps.Codes = codes()
 	mux := http.NewServeMux()
 	mux.Handle(message.RPCPath, ps)
-	sv := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	sv := roleprocess.NewHTTPServer(mux)
 	serve(lc, ho.settings.PeerAddress, sv, func(ctx context.Context) error {
 		return errors.CombineErrors(ps.Shutdown(ctx), sv.Close())
 	})
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -22,7 +22,7 @@
 )
 
 var headers = Headers{
-	Deadline: "Deadline", EndpointID: "Endpoint", Expect: "Expected-Endpoint", LastEvent: "Last-Event", Load: "Load",
+	Deadline: "Deadline", Expect: "Expected-Endpoint", LastEvent: "Last-Event", Load: "Load",
 	NotRun: "Not-Run", RequestID: "Request-Id", Signature: "Signature",
 }
 
--- a/forward/headers.go
+++ b/forward/headers.go
@@ -14,19 +14,12 @@
 // endpoints say of a request.
 type Headers struct {
 	Deadline    string // milliseconds that the caller still waits
-	EndpointID  string // the endpoint that answers, or that a request is for
 	Expect      string // the endpoint that a request is for; any other refuses it
 	LastEvent   string // the last event that the caller has
-	LengthHint  string // estimate of the tokens that will be generated
 	Load        string // running, waiting and places of an endpoint
-	Model       string
 	NotRun      string // present: the endpoint did not run the request
-	Prompt      string // parts of the prompt, first one first
 	RequestID   string
 	Signature   string // the endpoint's mark on its own answer
-	Usage       string // tokens of the prompt, and of the answer at most
-	Versions    string // version of the weights that generate
-	ExpectModel string // version of the weights that a request is for
 }
 
 // connectionHeaders concern one connection only and don't cross a hop.
