--- a/forward/headers.go
+++ b/forward/headers.go
@@ -13,13 +13,13 @@
 // Headers are the names of the headers that carry what callers, entries and
 // endpoints say of a request.
 type Headers struct {
-	Deadline    string // milliseconds that the caller still waits
-	Expect      string // the endpoint that a request is for; any other refuses it
-	LastEvent   string // the last event that the caller has
-	Load        string // running, waiting and places of an endpoint
-	NotRun      string // present: the endpoint did not run the request
-	RequestID   string
-	Signature   string // the endpoint's mark on its own answer
+	Deadline  string // milliseconds that the caller still waits
+	Expect    string // the endpoint that a request is for; any other refuses it
+	LastEvent string // the last event that the caller has
+	Load      string // running, waiting and places of an endpoint
+	NotRun    string // present: the endpoint did not run the request
+	RequestID string
+	Signature string // the endpoint's mark on its own answer
 }
 
 // connectionHeaders concern one connection only and don't cross a hop.
