--- a/cmd/soakcmd.go
+++ b/cmd/soakcmd.go
@@ -11,7 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"wisteriacroft/soak"
+	"wisteriacroft/platform/soak"
 )
 
 // errSoak means that a soak saw a broken promise.
--- a/step/listing.go
+++ b/step/listing.go
@@ -101,22 +101,13 @@
 			re.Text = append(re.Text, '\n')
 		}
 		re.Text = append(re.Text, ev.Data...)
-		if i == 0 || !contains(re.Versions, ev.Version) {
+		if !slices.Contains(re.Versions, ev.Version) {
 			re.Versions = append(re.Versions, ev.Version)
 		}
 	}
 	return re
 }
 
-func contains(versions []uint64, version uint64) bool {
-	for _, ve := range versions {
-		if ve == version {
-			return true
-		}
-	}
-	return false
-}
-
 // Listed takes in that chunks are listed.
 func (ta *Table) Listed(chunks []Chunk) {
 	for _, ch := range chunks {
