step: drop old steps beside placing, and forget them whole

Found by reading: removing the keys of steps that no one reads waited for the store in the loop that places items, and without a bound; and what follows the steps kept each one for ever. TestIntakeForgetsDroppedSteps fails without the fix.

--- a/step/keep.go
+++ b/step/keep.go
@@ -271,6 +271,7 @@
 	}
 	for _, it := range its {
 		if it.Value == nil {
+			in.forget(it.Key)
 			continue
 		}
 		if id, ok := strings.CutPrefix(it.Key, endPrefix); ok {
@@ -288,6 +289,18 @@
 	return accepted, ended
 }
 
+// forget drops a step whose keys were removed.
+func (in *intake) forget(key string) {
+	if id, ok := strings.CutPrefix(key, endPrefix); ok {
+		delete(in.ended, id)
+		return
+	}
+	id, _, _ := strings.Cut(strings.TrimPrefix(key, stepPrefix), "/")
+	delete(in.parts, id)
+	delete(in.scanned, id)
+	delete(in.steps, id)
+}
+
 // applyPart takes one value of a step in and returns the step once it is whole.
 func (in *intake) applyPart(it keyvalue.Item) *Step {
 	id, text, ok := strings.Cut(strings.TrimPrefix(it.Key, stepPrefix), "/")
--- a/step/keep_test.go
+++ b/step/keep_test.go
@@ -177,3 +177,21 @@
 		assert.Assert(t, err != nil && !errors.Is(err, ErrUnknownStep), "%v", err)
 	})
 }
+
+func TestIntakeForgetsDroppedSteps(t *testing.T) {
+	// Symptom: a scheduler's memory grows with each step for as long as it runs.
+	// Sequence: steps are accepted, end, and are dropped when no one reads them.
+	// Cause: what follows the steps kept every one that it had ever seen.
+	var me keyvalue.Memory
+	ke := &Keeper{Client: me.Client()}
+	assert.NilError(t, ke.Accept(t.Context(), stepOf("s", 1)))
+	assert.NilError(t, ke.End(t.Context(), "s"))
+	assert.NilError(t, ke.Drop(t.Context(), "s"))
+	ch, err := me.Client().Follow(t.Context(), intakePrefix, 0, 0)
+	assert.NilError(t, err)
+	var in intake
+	accepted, ended := in.apply(ch.Items, false)
+	assert.Equal(t, len(accepted), 1)
+	assert.DeepEqual(t, ended, []string{"s"})
+	assert.Equal(t, len(in.steps)+len(in.ended)+len(in.parts)+len(in.scanned), 0)
+}
--- a/step/scheduler.go
+++ b/step/scheduler.go
@@ -16,6 +16,7 @@
 	"wisteriacroft/message"
 	"wisteriacroft/peer"
 	"wisteriacroft/runner"
+	"wisteriacroft/tick"
 )
 
 // Intervals of a scheduler.
@@ -130,7 +131,10 @@
 	go sc.Holder.Run(holding)
 	ti := time.NewTicker(tickEvery)
 	defer ti.Stop()
-	kept := time.Now()
+	// On its own: removing keys waits for the service, and placing must not.
+	go (&tick.Loop{
+		Every: housekeeping, Systems: []tick.System{{Name: "keep house", Run: func(now time.Time) { sc.keepHouse(ctx, now) }}},
+	}).Run(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -143,10 +147,6 @@
 			}
 			sc.stand(ctx, epoch)
 			sc.tick(now, st)
-			if now.Sub(kept) > housekeeping {
-				kept = now
-				sc.keepHouse(ctx, now)
-			}
 		}
 	}
 }
@@ -260,7 +260,10 @@
 	}
 	sc.mu.Unlock()
 	for _, id := range ids {
-		if err := sc.Keeper.Drop(ctx, id); err != nil {
+		cx, cancel := context.WithTimeout(ctx, loadTimeout)
+		err := sc.Keeper.Drop(cx, id)
+		cancel()
+		if err != nil {
 			sc.Log.WithError(err).WithField(stepField, id).Warn("old step can't be dropped")
 		}
 	}
