runner: lock the tests' engine

TestOrders failed in about one of 300 runs: a load that ended while the runner asked was seen half done, busy no more and still at its old version, so that a second order was right. The race detector names the fake's fields.

--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,9 +16,10 @@
 
 // A fakeEngine makes an event each 40 ms, and takes orders as engines do.
 type fakeEngine struct {
-	cut      int // events after which a stream breaks; 0 never
-	length   int // events of an item
-	lose     int // orders that are carried out without an answer
+	cut      int        // events after which a stream breaks; 0 never
+	length   int        // events of an item
+	lose     int        // orders that are carried out without an answer
+	mu       sync.Mutex // guards report, lose and versions: a load ends while the runner asks
 	report   Report
 	skip     int64 // event that is left out
 	starts   []Launch
@@ -28,6 +30,8 @@
 func (fe *fakeEngine) engine() Engine {
 	return Engine{
 		OrderFunc: func(_ context.Context, or Order, sequence uint64) (OrderState, error) {
+			fe.mu.Lock()
+			defer fe.mu.Unlock()
 			if sequence != fe.report.Sequence || fe.report.Busy {
 				return OrderBusy, nil
 			}
@@ -35,6 +39,8 @@
 			fe.report.Busy = true
 			fe.versions = append(fe.versions, or.Version)
 			time.AfterFunc(900*time.Millisecond, func() {
+				fe.mu.Lock()
+				defer fe.mu.Unlock()
 				fe.report.Busy = false
 				fe.report.Versions = map[string]uint64{or.Model: or.Version}
 			})
@@ -44,11 +50,22 @@
 			}
 			return OrderTaken, nil
 		},
-		ReportFunc: func(context.Context) (Report, error) { return fe.report, nil },
-		StartFunc:  fe.start,
+		ReportFunc: func(context.Context) (Report, error) {
+			fe.mu.Lock()
+			defer fe.mu.Unlock()
+			return fe.report, nil
+		},
+		StartFunc: fe.start,
 	}
 }
 
+// ordered returns the versions that were ordered.
+func (fe *fakeEngine) ordered() []uint64 {
+	fe.mu.Lock()
+	defer fe.mu.Unlock()
+	return fe.versions
+}
+
 func (fe *fakeEngine) start(ctx context.Context, la Launch) Start {
 	fe.starts = append(fe.starts, la)
 	if fe.state != Running {
@@ -95,22 +112,22 @@
 	prior := []Event{{ID: 1}, {ID: 2}}
 	for _, tc := range []struct {
 		name   string
-		engine fakeEngine
+		engine *fakeEngine
 		prior  []Event
 		state  State
 		events int
 	}{
-		{"whole", fakeEngine{length: 5}, nil, Complete, 5},
-		{"goes on after what was made", fakeEngine{length: 5}, prior, Complete, 5},
-		{"broken", fakeEngine{length: 5, cut: 3}, nil, Broken, 3},
-		{"an event is missing", fakeEngine{length: 5, skip: 3}, nil, Broken, 2},
-		{"not run", fakeEngine{state: NotRun}, nil, NotRun, 0},
-		{"failed", fakeEngine{state: Failed}, prior, Failed, 2},
-		{"can never be done", fakeEngine{state: Impossible}, nil, Impossible, 0},
+		{"whole", &fakeEngine{length: 5}, nil, Complete, 5},
+		{"goes on after what was made", &fakeEngine{length: 5}, prior, Complete, 5},
+		{"broken", &fakeEngine{length: 5, cut: 3}, nil, Broken, 3},
+		{"an event is missing", &fakeEngine{length: 5, skip: 3}, nil, Broken, 2},
+		{"not run", &fakeEngine{state: NotRun}, nil, NotRun, 0},
+		{"failed", &fakeEngine{state: Failed}, prior, Failed, 2},
+		{"can never be done", &fakeEngine{state: Impossible}, nil, Impossible, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				rn := newRunner(&tc.engine)
+				rn := newRunner(tc.engine)
 				key := Key{Attempt: 1, Item: "i", Step: "s"}
 				exchange(t, rn, ExchangeRequest{Epoch: 1, Launches: []Launch{{Endpoint: "e", Key: key, Prior: tc.prior}}})
 				time.Sleep(time.Second)
@@ -199,7 +216,7 @@
 					exchange(t, rn, ExchangeRequest{Epoch: 1, Order: or})
 				}
 				re := exchange(t, rn, ExchangeRequest{Epoch: 1, Order: or})
-				assert.DeepEqual(t, fe.versions, []uint64{2})
+				assert.DeepEqual(t, fe.ordered(), []uint64{2})
 				assert.Equal(t, re.Ordered, uint64(0), "the order has ended, though it is still asked for")
 				assert.Equal(t, re.Report.Versions["m"], uint64(2))
 				cancel()
