--- a/runner/runner.go
+++ b/runner/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"slices"
 	"sync"
 	"time"
@@ -309,3 +310,11 @@
 	}
 	return re
 }
+
+// ending returns what the end of a stream means.
+func ending(err error) (State, string) {
+	if errors.Is(err, io.EOF) {
+		return Complete, ""
+	}
+	return Broken, err.Error()
+}
--- a/step/door.go
+++ b/step/door.go
@@ -22,6 +22,9 @@
 	// and comes again only once; outages of the service last 4 to 7 s, which two
 	// such times and the pause between them outlast.
 	acceptTime = 3500 * time.Millisecond
+	// maxReadWait is the longest wait that a reader may ask for: readers wait 1 s
+	// and break off after 1.5 s more.
+	maxReadWait = time.Second
 	// askTimeout bounds a question to the scheduler beyond the wait it asks for.
 	askTimeout = 1200 * time.Millisecond
 )
@@ -105,6 +108,7 @@
 // Read returns a step's results from a position on. ErrUnknownStep means that
 // there is no such step, any other error that it can't be told now.
 func (do *Door) Read(ctx context.Context, rq ReadRequest) (Listing, error) {
+	rq.Wait = min(max(rq.Wait, 0), maxReadWait)
 	li, err := ask[ReadRequest, Listing](ctx, do, readMethod, rq, rq.Wait+askTimeout)
 	if err == nil || errors.Is(err, ErrUnknownStep) {
 		return li, err
--- a/step/engines.go
+++ b/step/engines.go
@@ -22,7 +22,6 @@
 // An EngineInfo is an engine as the directory knows it.
 type EngineInfo struct {
 	Address  string // of the attendant beside it
-	Domain   string
 	ID       string
 	Leaving  bool
 	Service  string
@@ -47,7 +46,7 @@
 			ta.engines[in.ID] = en
 			ta.log("engine joined", map[string]any{engineField: in.ID, "service": in.Service})
 		}
-		en.address, en.domain, en.service = in.Address, in.Domain, in.Service
+		en.address, en.service = in.Address, in.Service
 		en.slots, en.tokens = in.Slots, in.Tokens
 		en.leaving = in.Leaving
 		for model, version := range in.Versions {
--- a/step/scheduler.go
+++ b/step/scheduler.go
@@ -239,7 +239,7 @@
 
 func (sc *Scheduler) engineInfo(en directory.Endpoint, se directory.Service) EngineInfo {
 	in := EngineInfo{
-		Address: sc.attendantOf(en), Domain: en.Domain, ID: en.ID, Leaving: en.Leaving,
+		Address: sc.attendantOf(en), ID: en.ID, Leaving: en.Leaving,
 		Service: en.Service, Slots: en.Slots, Tokens: se.Tokens, Versions: map[string]uint64{},
 	}
 	if in.Slots == 0 {
--- a/step/table.go
+++ b/step/table.go
@@ -75,7 +75,6 @@
 	id       string
 	address  string // of the attendant
 	boot     string
-	domain   string
 	forget   map[runner.Key]bool
 	foreign  int  // requests of others that it runs
 	gone     bool // another answers at its address
