trial: pick each deployment's ports at an address of its own

Two deployments run side by side in one process; ports are picked at the process's own address, released, and bound later, so that one could be picked twice. Assertions are unchanged.

--- a/trial/deployment.go
+++ b/trial/deployment.go
@@ -8,6 +8,7 @@
 	"path"
 	"regexp"
 	"strings"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -83,6 +84,7 @@
 // the files. All are held until the last is picked, so that they differ.
 func pickPorts(files []file) error {
 	picked := map[string]net.Listener{}
+	number := picks.Add(1)
 	defer func() {
 		for _, ln := range picked {
 			_ = ln.Close()
@@ -93,7 +95,7 @@
 			if picked[address] != nil {
 				continue
 			}
-			ln, err := listenAnywhere()
+			ln, err := listenAnywhere(number)
 			if err != nil {
 				return errors.Wrap(err, "pick a free port")
 			}
@@ -106,14 +108,19 @@
 	return nil
 }
 
+// picks counts the deployments of this process that were given ports.
+var picks atomic.Uint32
+
 // listenAnywhere listens on a free port of a loopback address of this
-// process's own, where there is such, or else of the usual one. Connections
-// start at the usual one: one of them, or another trial, could take the port
-// of a killed process before its successor does.
-func listenAnywhere() (net.Listener, error) {
+// process's and this deployment's own, where there is such, or else of the usual
+// one. Connections start at the usual one: one of them, or another trial, could
+// take the port of a killed process before its successor does; and a trial that
+// runs beside this one in the same process could take a port that was picked
+// here and is not bound yet.
+func listenAnywhere(number uint32) (net.Listener, error) {
 	var lc net.ListenConfig
 	pid := os.Getpid()
-	own := net.IPv4(127, byte(1+pid/250%250), byte(pid%250), 1)
+	own := net.IPv4(127, byte(1+pid/250%250), byte(pid%250), byte(1+number%250))
 	ln, err := lc.Listen(context.Background(), "tcp", net.JoinHostPort(own.String(), "0"))
 	if err != nil {
 		ln, err = lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
