step: share loads among models by need; begin other models' runs meanwhile

Loads were given out in the order of the models' names, nine at a time, and four models name more versions than the store of weights serves: the last name got 10 of 160 loads where the others got 50 each. Besides, an engine that loads one model was taken for one that begins nothing.

Ruled out: places (30% of them taken on average), the trainers (1.04 s from a step's end to the next, as their sheets say), the pace of engines (49.7 ms an event of 47.4 at best).

Now the next load is of the model with the fewest engines at its newest version for its share; an engine holds versions of several models, so the assignment of engines to models is gone. How many tokens an event holds is measured (62 and 80 on the two deployments) instead of assumed.

Lines on a step's model and on reads of results are logged.

--- a/step/engines.go
+++ b/step/engines.go
@@ -219,6 +219,7 @@
 			ta.requeue(ir, "no text", now)
 			return
 		}
+		ir.step.gauge.observe(ir.item.Hint, len(ir.events))
 		ta.keep(ir)
 		ta.settle(ir, complete, now)
 	case runner.Impossible:
--- /dev/null
+++ b/step/gauge_test.go
@@ -0,0 +1,36 @@
+package step
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestTokenGauge(t *testing.T) {
+	// Symptom: engines are filled beyond their memory, and stop their newest runs.
+	// Sequence: a deployment's events hold 80 tokens, where another's hold 62.
+	// Cause: one number was taken for all.
+	rng := rand.New(rand.NewPCG(1, 1))
+	var ga tokenGauge
+	assert.Equal(t, ga.eventTokens(), usualEventTokens)
+	for range 200 {
+		events := 2 + rng.IntN(140)
+		ga.observe(int(80*float64(events)*math.Exp(0.5*rng.NormFloat64())), events)
+	}
+	assert.Assert(t, ga.eventTokens() > 70 && ga.eventTokens() < 90, "%d", ga.eventTokens())
+	for range gaugeRatios {
+		ga.observe(62*50, 50)
+	}
+	assert.Equal(t, ga.eventTokens(), 62, "the newest items count")
+}
+
+func TestTokenGaugeWithoutHints(t *testing.T) {
+	var ga tokenGauge
+	for range 100 {
+		ga.observe(0, 50)
+		ga.observe(900, 2)
+	}
+	assert.Equal(t, ga.eventTokens(), usualEventTokens)
+}
--- a/step/listing.go
+++ b/step/listing.go
@@ -39,7 +39,7 @@
 // holds reports whether an item of the step is about to end.
 func (sr *stepRow) holds() bool {
 	return slices.ContainsFunc(sr.items, func(ir *itemRow) bool {
-		bound := (ir.item.Tokens - ir.item.Prompt) / eventTokens
+		bound := (ir.item.Tokens - ir.item.Prompt) / sr.gauge.eventTokens()
 		return ir.state == running && bound > 0 && bound-len(ir.events) <= holdEvents
 	})
 }
@@ -109,7 +109,7 @@
 }
 
 // Listed takes in that chunks are listed.
-func (ta *Table) Listed(chunks []Chunk) {
+func (ta *Table) Listed(chunks []Chunk, now time.Time) {
 	for _, ch := range chunks {
 		sr, ok := ta.steps[ch.Step]
 		if !ok {
@@ -117,6 +117,7 @@
 		}
 		sr.results = append(sr.results, ch.Results...)
 		sr.chunks = ch.Number + 1
+		sr.listedAt = now
 		positions := map[string]bool{}
 		for _, re := range ch.Results {
 			positions[re.Item] = true
--- a/step/pace.go
+++ b/step/pace.go
@@ -207,7 +207,7 @@
 	if from.pace == 0 || to.pace == 0 {
 		return 0
 	}
-	events := float64(ir.left()) / eventTokens
+	events := float64(ir.left()) / float64(ir.step.gauge.eventTokens())
 	return time.Duration(events * float64(from.pace-to.pace))
 }
 
--- a/step/place.go
+++ b/step/place.go
@@ -37,7 +37,7 @@
 // usable reports whether an engine may run an item.
 func (ta *Table) usable(en *engineRow, ir *itemRow) bool {
 	st := ir.step.step
-	if en.service != st.Service || en.leaving || en.gone || en.sick || en.heardAt.IsZero() || en.report.Busy || en.order != nil {
+	if en.service != st.Service || en.leaving || en.gone || en.sick || en.heardAt.IsZero() || en.loads(st.Model) {
 		return false
 	}
 	version := en.versions[st.Model]
@@ -50,10 +50,20 @@
 	return true
 }
 
+// loads reports whether an engine loads weights of a model, which begins no run
+// of it meanwhile. It is busy without an order while it carries out that of an
+// earlier scheduler, which may be of any model.
+func (en *engineRow) loads(model string) bool {
+	if en.order == nil {
+		return en.report.Busy
+	}
+	return en.order.Model == model
+}
+
 // holds returns how many tokens an item holds now, and is expected to hold at
 // its end.
 func (ir *itemRow) holds() (now, end int) {
-	now = ir.item.Prompt + len(ir.events)*eventTokens
+	now = ir.item.Prompt + len(ir.events)*ir.step.gauge.eventTokens()
 	return now, now + ir.left()
 }
 
@@ -166,6 +176,7 @@
 // right at the median and often far off: an item that has passed its hint is
 // one of those that last, and is expected to need as much again.
 func (ir *itemRow) left() int {
+	eventTokens := ir.step.gauge.eventTokens()
 	made := len(ir.events) * eventTokens
 	left := max(ir.item.expected(), ir.known*eventTokens) - made
 	if left <= 0 {
@@ -177,9 +188,6 @@
 	return left
 }
 
-// eventTokens is about how many tokens an event holds.
-const eventTokens = 62
-
 // choose returns the best engine for an item, or nil.
 func (ta *Table) choose(ir *itemRow, now time.Time) *engineRow {
 	var best *engineRow
@@ -277,8 +285,8 @@
 	}
 	en.items[ir.run.key] = ir
 	ta.log("item placed", map[string]any{
-		"after": len(ir.events), "attempt": ta.attempt, engineField: en.id, "free": en.free(), itemField: ir.item.ID,
-		"report-ms": now.Sub(en.heardAt).Milliseconds(), stepField: ir.step.step.ID, "version": version,
+		"after": len(ir.events), "attempt": ta.attempt, "bound": ir.item.Tokens - ir.item.Prompt, engineField: en.id,
+		"free": en.free(), "hint": ir.item.Hint, itemField: ir.item.ID, "known": ir.known, "report-ms": now.Sub(en.heardAt).Milliseconds(), stepField: ir.step.step.ID, "version": version,
 	})
 }
 
--- a/step/read.go
+++ b/step/read.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 )
 
 // current returns the term, if this process runs the steps.
@@ -17,7 +18,8 @@
 
 // read returns results, after waiting for one if need be.
 func (sc *Scheduler) read(ctx context.Context, rq ReadRequest) (Listing, error) {
-	end := time.Now().Add(rq.Wait)
+	begun := time.Now()
+	end := begun.Add(rq.Wait)
 	for {
 		sc.mu.Lock()
 		te, err := sc.current()
@@ -39,6 +41,10 @@
 		sc.mu.Unlock()
 		left := time.Until(end)
 		if len(li.Results) > 0 || idle || left <= 0 {
+			sc.Log.WithFields(logrus.Fields{
+				"after": rq.After, "allowed-ms": rq.Wait.Milliseconds(), "results": len(li.Results), stepField: rq.ID,
+				"waited-ms": time.Since(begun).Milliseconds(),
+			}).Info("results read")
 			return li, nil
 		}
 		select {
--- a/step/table.go
+++ b/step/table.go
@@ -51,6 +51,7 @@
 
 // A groupRow counts the items of a group that are not complete.
 type groupRow struct {
+	again  bool // it was in an earlier step too
 	doneAt time.Time
 	left   int
 }
@@ -60,10 +61,12 @@
 	seenAt      time.Time // this scheduler learned of it
 	step        *Step
 	ended       bool
+	gauge       *tokenGauge // of the step's model
 	groups      map[string]*groupRow
 	items       []*itemRow
-	chunks      int // that are listed
-	checkpoints int // that are kept
+	chunks      int       // that are listed
+	checkpoints int       // that are kept
+	listedAt    time.Time // of the last results
 	results     []Result
 	changed     chan struct{} // closed when results are listed
 	idle        bool          // all items are listed, or it has ended
@@ -81,7 +84,6 @@
 	items    map[runner.Key]*itemRow
 	kept     map[runner.Key]*itemRow // whole, and held by the attendant until they are listed
 	leaving  bool
-	model    string        // whose newest versions it loads
 	order    *runner.Order // wanted, until it holds
 	orderAt  time.Time
 	ordered  bool      // the attendant has the order
@@ -121,6 +123,7 @@
 	log     func(event string, fields map[string]any)
 	demand  map[string]float64       // work of a model's step, in tokens
 	garbage []string                 // keys to remove
+	gauges  map[string]*tokenGauge   // by model
 	savedAt time.Time                // of the last checkpoint
 	paces   map[string]time.Duration // of the median engine, by service
 }
@@ -135,7 +138,7 @@
 		log = func(string, map[string]any) {}
 	}
 	ta := &Table{
-		attempt: epoch << attemptBits, demand: map[string]float64{}, engines: map[string]*engineRow{}, epoch: epoch, log: log,
+		attempt: epoch << attemptBits, demand: map[string]float64{}, engines: map[string]*engineRow{}, epoch: epoch, gauges: map[string]*tokenGauge{}, log: log,
 		paces: map[string]time.Duration{}, named: map[string]uint64{}, lengths: map[string]int{}, reuse: map[string]*itemRow{},
 		steps: map[string]*stepRow{},
 	}
@@ -161,7 +164,12 @@
 	if _, ok := ta.steps[st.ID]; ok {
 		return
 	}
-	sr := &stepRow{seenAt: now, step: st, ended: ended, groups: map[string]*groupRow{}, changed: make(chan struct{}), idle: ended}
+	gauge := ta.gauges[st.Model]
+	if gauge == nil {
+		gauge = &tokenGauge{}
+		ta.gauges[st.Model] = gauge
+	}
+	sr := &stepRow{seenAt: now, step: st, ended: ended, gauge: gauge, groups: map[string]*groupRow{}, changed: make(chan struct{}), idle: ended}
 	ta.steps[st.ID] = sr
 	positions := map[string]bool{}
 	for _, chunk := range ke.Listed {
@@ -184,6 +192,7 @@
 			sr.groups[it.Group] = gr
 		}
 		gr.left++
+		gr.again = gr.again || ir.known > 0
 		if positions[it.ID] {
 			ir.listed = true
 			ta.settle(ir, complete, now)
@@ -196,7 +205,7 @@
 	ta.order = append(ta.order, sr)
 	slices.SortStableFunc(ta.order, func(a, b *stepRow) int { return a.step.Accepted.Compare(b.step.Accepted) })
 	ta.log("step accepted", map[string]any{
-		"groups": len(sr.groups), "items": len(st.Items), "listed": len(sr.results), "min-version": st.MinVersion,
+		"groups": len(sr.groups), "items": len(st.Items), "listed": len(sr.results), "min-version": st.MinVersion, "model": st.Model,
 		"number": st.Number, stepField: st.ID, "target": st.Groups,
 	})
 }
--- a/step/update.go
+++ b/step/update.go
@@ -12,8 +12,8 @@
 }
 
 // Written takes in that an update is applied.
-func (ta *Table) Written(up Update) {
-	ta.Listed(up.Chunks)
+func (ta *Table) Written(up Update, now time.Time) {
+	ta.Listed(up.Chunks, now)
 	ta.Saved(up.Checkpoints)
 	ta.Removed(len(up.Deletes))
 }
--- a/step/weights.go
+++ b/step/weights.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -11,7 +12,7 @@
 
 // Bounds of loading weights.
 const (
-	// leastAtOnce and partAtOnce say how many engines of a model load at once:
+	// leastAtOnce and partAtOnce say how many engines of a service load at once:
 	// by the deployments' sheets the store of weights serves 2 of 11, 2 of 12, 9
 	// of 46 and 10 of 50 at full speed, and more of them more slowly.
 	leastAtOnce = 2
@@ -22,75 +23,138 @@
 
 // Weights orders engines to load newer versions.
 //
-// Load pattern: a version is named each few seconds, and two engines at a time
-// load it in about a second each, during which they begin nothing while what
-// runs goes on. All engines take as long as a version lasts, so loading never
-// pauses; the engines with the oldest version go first, and of those the
-// fullest, since they couldn't begin anything anyway.
-func (ta *Table) Weights(now time.Time) {
-	ta.assign()
-	for _, model := range slices.Sorted(maps.Keys(ta.named)) {
-		ta.loadModel(model, ta.named[model], now)
-	}
-}
-
-// assign gives each engine the model whose newest versions it loads.
-//
 // Load pattern: several trainers share the engines, each with a model of its
-// own, and each names a version every few seconds. An engine that loaded every
-// model's would load all the time; so each loads those of one, by the part of
-// the work that the models make. What it holds of the others is used while it
-// is new enough.
-func (ta *Table) assign() {
+// own, and each names a version every few seconds, at once or in turns. The
+// store of weights serves fewer loads than there are engines and models. So the
+// next load is always of the model that has the fewest engines with its newest
+// version, for its part of the work: taken in the order of their names, the last
+// one's steps waited for 4 s. A model stops at its share of the engines, of
+// which each may hold versions of several.
+func (ta *Table) Weights(now time.Time) {
 	byService := map[string][]*engineRow{}
 	for _, en := range ta.sorted {
-		if len(en.versions) > 0 && !en.leaving && !en.gone {
+		if en.order != nil && now.Sub(en.orderAt) > orderBound {
+			en.order = nil
+		}
+		if len(en.versions) > 0 {
 			byService[en.service] = append(byService[en.service], en)
 		}
 	}
 	for _, service := range slices.Sorted(maps.Keys(byService)) {
-		ta.assignService(byService[service])
+		ta.loadService(byService[service], now)
 	}
 }
 
-// assignService gives models to the engines of one service.
-func (ta *Table) assignService(ens []*engineRow) {
-	want := ta.shares(ens)
-	have := map[string]int{}
+// loadService orders the loads of one service's engines, as many as may be
+// under way at once.
+func (ta *Table) loadService(ens []*engineRow, now time.Time) {
+	loading := 0
 	for _, en := range ens {
-		if _, ok := want[en.model]; !ok {
-			en.model = ""
+		if en.order != nil {
+			loading++
 		}
-		have[en.model]++
 	}
+	shares := ta.shares(ens)
+	for loading < max(leastAtOnce, len(ens)/partAtOnce) {
+		model := ta.neediest(ens, shares)
+		if model == "" {
+			return
+		}
+		ta.load(ta.oldest(ens, model), model, now)
+		loading++
+	}
+}
+
+// neediest returns the model that has the fewest engines with its newest
+// version for its share, and an engine that may load it, or "".
+func (ta *Table) neediest(ens []*engineRow, shares map[string]float64) string {
+	best, least := "", 1.0
+	for _, model := range slices.Sorted(maps.Keys(shares)) {
+		fresh := 0
+		for _, en := range ens {
+			if en.freshFor(model, ta.named[model]) {
+				fresh++
+			}
+		}
+		// A share is met by the engine that passes it.
+		if part := float64(fresh) / math.Ceil(shares[model]); part < least && ta.oldest(ens, model) != nil {
+			best, least = model, part
+		}
+	}
+	return best
+}
+
+// freshFor reports whether an engine has a version of a model, or loads it.
+func (en *engineRow) freshFor(model string, version uint64) bool {
+	loads := en.order != nil && en.order.Model == model && en.order.Version >= version
+	return en.versions[model] >= version || loads
+}
+
+// oldest returns the engine that is to load a model's newest version, or nil:
+// the one with the oldest version. Of those it is the one that serves the fewest
+// other models, and of those the fullest, since it couldn't begin anything
+// anyway.
+func (ta *Table) oldest(ens []*engineRow, model string) *engineRow {
+	var best *engineRow
 	for _, en := range ens {
-		if en.model != "" && have[en.model] <= want[en.model] || en.order != nil {
+		if en.versions[model] == 0 || en.versions[model] >= ta.named[model] || en.order != nil {
 			continue
 		}
-		if model := shortest(en, have, want); model != "" {
-			have[en.model]--
-			have[model]++
-			en.model = model
-			ta.log("engine assigned", map[string]any{engineField: en.id, "engines": have[model], "model": model})
+		if en.leaving || en.gone || en.sick || en.heardAt.IsZero() {
+			continue
+		}
+		if best == nil || ta.compareLoads(en, best, model) < 0 {
+			best = en
 		}
 	}
+	return best
 }
 
-// shortest returns the model that lacks the most engines and that an engine
-// serves, or "".
-func shortest(en *engineRow, have, want map[string]int) string {
-	best := ""
-	for _, model := range slices.Sorted(maps.Keys(want)) {
-		lacks := want[model] - have[model]
-		if en.versions[model] > 0 && lacks > 0 && (best == "" || lacks > want[best]-have[best]) {
-			best = model
+// compareLoads returns which of two engines is to load a model first.
+func (ta *Table) compareLoads(a, b *engineRow, model string) int {
+	return cmp.Or(
+		cmp.Compare(ta.lag(a, model), ta.lag(b, model)),
+		cmp.Compare(ta.serves(a, model), ta.serves(b, model)),
+		cmp.Compare(len(b.items), len(a.items)),
+		cmp.Compare(a.id, b.id),
+	)
+}
+
+// lag returns by how much an engine's version lags, as a negative number so that
+// the oldest comes first. Steps take the newest version and the one before it:
+// what is older is of no use at all, however old.
+func (ta *Table) lag(en *engineRow, model string) int {
+	return -int(min(ta.named[model]-en.versions[model], uselessLag))
+}
+
+// uselessLag is by how many versions an engine lags that no step takes.
+const uselessLag = 2
+
+// serves returns how many models other than one an engine has versions of that
+// steps take.
+func (ta *Table) serves(en *engineRow, except string) int {
+	count := 0
+	for model, version := range en.versions {
+		if model != except && version+uselessLag > ta.named[model] {
+			count++
 		}
 	}
-	return best
+	return count
+}
+
+// load orders an engine to load a model's newest version.
+func (ta *Table) load(en *engineRow, model string, now time.Time) {
+	version := ta.named[model]
+	en.order = &runner.Order{Endpoint: en.id, Fence: ta.epoch, Keep: !ta.wantsSingle(model), Model: model, Version: version}
+	en.orderAt, en.ordered = now, false
+	ta.log("weights ordered", map[string]any{
+		engineField: en.id, "from": en.versions[model], "items": len(en.items), "model": model, "version": version,
+	})
 }
 
-// shares returns how many of a service's engines each of its models is to have.
-func (ta *Table) shares(ens []*engineRow) map[string]int {
+// shares returns how many of a service's engines each of its models is to have,
+// by the part of the work that it makes.
+func (ta *Table) shares(ens []*engineRow) map[string]float64 {
 	demand, total := map[string]float64{}, 0.0
 	for model := range ta.named {
 		if slices.ContainsFunc(ens, func(en *engineRow) bool { return en.versions[model] > 0 }) {
@@ -98,16 +162,9 @@
 			total += demand[model]
 		}
 	}
-	shares := map[string]int{}
-	left := len(ens)
-	models := slices.Sorted(maps.Keys(demand))
-	for i, model := range models {
-		part := int(float64(len(ens))*demand[model]/total + 0.5)
-		if i == len(models)-1 {
-			part = left
-		}
-		shares[model] = max(min(part, left), 0)
-		left -= shares[model]
+	shares := map[string]float64{}
+	for model := range demand {
+		shares[model] = float64(len(ens)) * demand[model] / total
 	}
 	return shares
 }
@@ -132,44 +189,6 @@
 	ta.demand[st.Model] = tokens
 }
 
-func (ta *Table) loadModel(model string, version uint64, now time.Time) {
-	loading, serving := 0, 0
-	var behind []*engineRow
-	for _, en := range ta.sorted {
-		if en.versions[model] == 0 {
-			continue
-		}
-		serving++
-		if en.order != nil {
-			if now.Sub(en.orderAt) > orderBound {
-				en.order = nil
-			}
-			loading++
-			continue
-		}
-		if en.model == model && en.versions[model] < version && !en.leaving && !en.gone && !en.sick && !en.heardAt.IsZero() {
-			behind = append(behind, en)
-		}
-	}
-	slices.SortFunc(behind, func(a, b *engineRow) int {
-		return cmp.Or(cmp.Compare(a.versions[model], b.versions[model]), cmp.Compare(len(b.items), len(a.items)),
-			cmp.Compare(a.id, b.id))
-	})
-	single := ta.wantsSingle(model)
-	for _, en := range behind {
-		if loading >= max(leastAtOnce, serving/partAtOnce) {
-			return
-		}
-		loading++
-		en.order = &runner.Order{Endpoint: en.id, Fence: ta.epoch, Keep: !single, Model: model, Version: version}
-		en.orderAt, en.ordered = now, false
-		ta.log("weights ordered", map[string]any{
-			engineField: en.id, "from": en.versions[model], "items": len(en.items), "model": model,
-			"version": version,
-		})
-	}
-}
-
 // wantsSingle reports whether any open step wants a single version.
 func (ta *Table) wantsSingle(model string) bool {
 	return slices.ContainsFunc(ta.order, func(sr *stepRow) bool {
--- a/step/write.go
+++ b/step/write.go
@@ -27,7 +27,7 @@
 		switch {
 		case done:
 			sc.mu.Lock()
-			te.table.Written(up)
+			te.table.Written(up, time.Now())
 			sc.mu.Unlock()
 			up = Update{}
 		case errors.Is(err, keyvalue.ErrConflict):
