runner, step: slow engines show in half the time

The median of the gaps of 1.5 s is outnumbered by quick gaps for 1.2 s, and then had to hold for 0.4 s. Now gaps of 0.8 s count, four of them are enough, and an engine beyond 2.5 times the median pace need be so for 0.1 s only, as reading prompts makes it 1.5 times slower at most.

TestSlowEngineShows fails before (1.26 s).

--- a/runner/pace.go
+++ b/runner/pace.go
@@ -10,8 +10,9 @@
 	// paceGaps is how many of the newest gaps between two events are kept:
 	// about a quarter of a second of an engine with full places.
 	paceGaps = 48
-	// paceLife is how long a gap counts.
-	paceLife = 1500 * time.Millisecond
+	// paceLife is how long a gap counts. An engine with one run that turns 3.6
+	// times slower shows after 0.72 s; with a life of 1.5 s it took 1.26 s.
+	paceLife = 800 * time.Millisecond
 )
 
 // A gap is the time between two events of a run.
--- /dev/null
+++ b/runner/pace_test.go
@@ -0,0 +1,47 @@
+package runner
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestSlowEngineShows(t *testing.T) {
+	// Symptom: runs are moved off a slow engine 1.6 s after it turned slow, and
+	// their steps are late by as much.
+	// Sequence: an engine with few runs turns 3.6 times slower.
+	// Cause: the many quick gaps of the last 1.5 s outnumbered the few slow ones.
+	begun := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	const quick, slow = 50 * time.Millisecond, 180 * time.Millisecond
+	for _, tc := range []struct {
+		name string
+		runs int
+		most time.Duration // until the median shows it
+	}{
+		{"one run", 1, 800 * time.Millisecond},
+		{"two runs", 2, 800 * time.Millisecond},
+		{"eight runs", 8, 600 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var pa pacer
+			now := begun
+			for range 60 {
+				now = now.Add(quick)
+				for range tc.runs {
+					pa.observe(quick, now)
+				}
+			}
+			turned := now
+			for took, _ := pa.median(now); took < slow; took, _ = pa.median(now) {
+				now = now.Add(slow)
+				for range tc.runs {
+					pa.observe(slow, now)
+				}
+			}
+			assert.Assert(t, now.Sub(turned) <= tc.most, "%s", now.Sub(turned))
+			_, gaps := pa.median(now)
+			assert.Assert(t, gaps >= 4, "%d", gaps)
+		})
+	}
+}
--- a/step/pace.go
+++ b/step/pace.go
@@ -7,9 +7,9 @@
 
 // Weights of telling slow engines.
 const (
-	// paceGaps is how many gaps between events it takes to judge an engine:
-	// two events of four runs, or eight of one, a third of a second.
-	paceGaps = 8
+	// paceGaps is how many gaps between events it takes to judge an engine: four
+	// of one run that is 3.6 times slower than usual, or one each of four runs.
+	paceGaps = 4
 	// slowFactor is by how much an engine's pace may exceed the median before
 	// its runs are moved. Full engines are some 4% slower than empty ones.
 	slowFactor = 1.6
@@ -17,6 +17,10 @@
 	// moved. While it reads the prompts of a dozen new runs, it makes events
 	// at two thirds of its pace for some 200 ms.
 	slowSince = 400 * time.Millisecond
+	// verySlowFactor and verySlowSince are the same for an engine that is slower
+	// than reading prompts ever makes it.
+	verySlowFactor = 2.5
+	verySlowSince  = 100 * time.Millisecond
 	// slowFor is for how long an engine that was slow gets work only if no
 	// other can: without runs it shows no pace.
 	slowFor = 3 * time.Second
@@ -77,7 +81,11 @@
 	if en.slowerAt.IsZero() {
 		en.slowerAt = now
 	}
-	if now.Sub(en.slowerAt) < slowSince {
+	since := slowSince
+	if float64(en.report.Pace) > verySlowFactor*float64(median) {
+		since = verySlowSince
+	}
+	if now.Sub(en.slowerAt) < since {
 		return
 	}
 	if !en.slow(now) {
