An entry that is cut off says so, to the balancer and to trainers

Ruled out: the balancer (new connections only go to entries in rotation), the trainer's pause (it asks for another entry at once).

An entry that neither the service nor the feeder has answered for 1.5 s is not ready, refuses steps that it has not sent and reads at once. An outage of the service alone is no cut: a feeder that has lost the service says so, and is not given up for it any longer.

--- a/cmd/platformentrycmd.go
+++ b/cmd/platformentrycmd.go
@@ -51,7 +51,8 @@
 	su := &platform.Submissions{
 		Directory: ho.directory,
 		Door: &step.Door{
-			Keeper: &step.Keeper{Client: ho.store}, Log: ho.log, Pool: ho.pool, Scheduler: ho.finder,
+			CutOffFunc: func() bool { return ho.directory.CutOff(time.Now()) },
+			Keeper:     &step.Keeper{Client: ho.store}, Log: ho.log, Pool: ho.pool, Scheduler: ho.finder,
 		},
 		Live:       fo,
 		RetryAfter: stepRetry,
@@ -68,7 +69,7 @@
 		return sv.Shutdown(ctx)
 	})
 	ready := roleprocess.NewHTTPServer(
-		platform.Readiness(func() bool { return !ga.stopping.Load() && ho.directory.Ready() }))
+		platform.Readiness(func() bool { return !ga.stopping.Load() && ho.directory.Ready() && !ho.directory.CutOff(time.Now()) }))
 	// Stops last, so that the balancer hears that the entry is not ready.
 	lc.Append(fx.Hook{OnStop: func(context.Context) error {
 		ga.stopping.Store(true)
--- a/cmd/platformhost.go
+++ b/cmd/platformhost.go
@@ -89,7 +89,9 @@
 
 // codes returns the errors that cross the system's processes.
 func codes() []peer.Code {
-	return append(step.Codes(), peer.Code{Err: directory.ErrNotFeeder, Name: "not-feeder"})
+	return append(step.Codes(),
+		peer.Code{Err: directory.ErrNotFeeder, Name: "not-feeder"},
+		peer.Code{Err: directory.ErrOldEndpoints, Name: "old-endpoints"})
 }
 
 func applyMemory(se platform.Settings) {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -17,6 +17,11 @@
 // intervals of silence. Calls that are cut and repeated at once are no outage.
 const leastOutage = 2 * time.Second
 
+// cutOffAfter is after how long without an answer of the key-value service or of
+// the process that feeds it a process counts as cut off. In touch, it has one
+// each 0.8 s.
+const cutOffAfter = 1500 * time.Millisecond
+
 // A Directory is the table of routes and endpoints that a process believes in.
 // The zero Directory is empty and ready to use.
 type Directory struct {
@@ -30,6 +35,7 @@
 	generation    uint64               // of the endpoints; their models' versions don't count
 	awaySince     time.Time            // zero while the service answers
 	backAt        time.Time
+	heardAt       time.Time // of the service, or of the process that feeds this one
 }
 
 // Configuration returns what is in force, or nil before it is known. It must
@@ -118,6 +124,26 @@
 	di.generation++
 }
 
+// Hear takes in that the key-value service or the feeder answered, whatever it
+// said.
+func (di *Directory) Hear(now time.Time) {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	di.heardAt = now
+}
+
+// CutOff reports whether neither the key-value service nor the feeder has
+// answered for some time.
+//
+// A process that is cut off can keep no step and knows of no result, while its
+// neighbours can. An outage of the service alone does not count: the feeder
+// still answers, and other processes could do no better.
+func (di *Directory) CutOff(now time.Time) bool {
+	di.mu.RLock()
+	defer di.mu.RUnlock()
+	return now.Sub(di.heardAt) >= cutOffAfter
+}
+
 // Confirm takes in that what is known of endpoints was true at a moment.
 func (di *Directory) Confirm(at time.Time) {
 	di.mu.Lock()
--- a/directory/feed.go
+++ b/directory/feed.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"wisteriacroft/keyvalue"
 	"wisteriacroft/message"
 	"wisteriacroft/peer"
 )
@@ -26,9 +27,16 @@
 	feedPoll = 20 * time.Millisecond
 )
 
-// ErrNotFeeder means that the process does not follow the endpoints itself, or
-// has not heard of them of late.
-var ErrNotFeeder = errors.New("does not feed")
+// Errors of a process that is asked for endpoints.
+var (
+	// ErrNotFeeder means that it does not follow the endpoints itself.
+	ErrNotFeeder = errors.New("does not feed")
+	// ErrOldEndpoints means that it follows them and has not heard of late.
+	ErrOldEndpoints = errors.New("endpoints are old")
+)
+
+// errNoFeeder means that no feeder is known.
+var errNoFeeder = errors.New("no feeder is known")
 
 // A FeedRequest asks for the endpoints if they are not those of a generation.
 type FeedRequest struct {
@@ -60,7 +68,7 @@
 		case !fo.direct() || !known:
 			return FeedResponse{}, ErrNotFeeder
 		case age > feedAge:
-			return FeedResponse{}, errors.Wrapf(ErrNotFeeder, "endpoints are %s old", age)
+			return FeedResponse{}, errors.Wrapf(ErrOldEndpoints, "%s", age)
 		}
 		if rq.Boot != boot || rq.Generation != generation {
 			return FeedResponse{
@@ -84,6 +92,7 @@
 	var rq FeedRequest
 	for ctx.Err() == nil {
 		re, err := fo.askFeed(ctx, rq)
+		fo.hear(err)
 		if err == nil {
 			if re.Fresh {
 				fo.Directory.replaceEndpoints(re.Endpoints)
@@ -92,7 +101,8 @@
 			continue
 		}
 		rq = FeedRequest{}
-		ch, err := fo.next(ctx, fo.Source.EndpointPrefix, 0, true)
+		ch, err := fo.scanEndpoints(ctx)
+		fo.hear(err)
 		fo.away(fo.Source.EndpointPrefix, err)
 		if err == nil {
 			fo.applyEndpoints(ch.Items, true)
@@ -108,13 +118,24 @@
 func (fo *Follower) askFeed(ctx context.Context, rq FeedRequest) (FeedResponse, error) {
 	address := fo.Feeder.Address(ctx)
 	if address == "" {
-		return FeedResponse{}, ErrNotFeeder
+		return FeedResponse{}, errNoFeeder
 	}
 	ctx, cancel := context.WithTimeout(ctx, feedTimeout)
 	defer cancel()
 	re, err := peer.Call[FeedRequest, FeedResponse](ctx, fo.Pool, address, feedMethod, rq)
-	if err != nil && ctx.Err() == nil || errors.Is(err, context.DeadlineExceeded) {
+	if err != nil && ctx.Err() == nil && !errors.Is(err, ErrOldEndpoints) || errors.Is(err, context.DeadlineExceeded) {
 		fo.Feeder.Lose(address, err)
 	}
 	return re, err
 }
+
+// scanTimeout bounds a reading of all endpoints while there is no feeder: with
+// the pause it stays under the time after which the process counts as cut off.
+// A service that is 60 times slower than usual answers in 0.24 s.
+const scanTimeout = 800 * time.Millisecond
+
+func (fo *Follower) scanEndpoints(ctx context.Context) (keyvalue.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, scanTimeout)
+	defer cancel()
+	return fo.Client.Scan(ctx, fo.Source.EndpointPrefix)
+}
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -122,6 +122,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		fo.hear(err)
 		fo.away(prefix, err)
 		if errors.Is(err, keyvalue.ErrHistoryGone) {
 			fo.Log.WithFields(logrus.Fields{"prefix": prefix, "after": after}).Info("history lost, scanning again")
@@ -160,6 +161,13 @@
 	return fo.Client.Follow(ctx, prefix, after, wait)
 }
 
+// hear takes in the outcome of a call. What a process refuses it has answered.
+func (fo *Follower) hear(err error) {
+	if err == nil || errors.IsAny(err, keyvalue.ErrHistoryGone, ErrNotFeeder, ErrOldEndpoints) {
+		fo.Directory.Hear(time.Now())
+	}
+}
+
 // away notes whether the service answers.
 func (fo *Follower) away(prefix string, err error) {
 	gone := err != nil && !errors.Is(err, keyvalue.ErrHistoryGone)
--- a/step/door.go
+++ b/step/door.go
@@ -32,10 +32,13 @@
 // A Door is an entry's part in steps: it keeps what trainers hand in, and asks
 // the scheduler for what they read. Fill the exported fields before use.
 type Door struct {
-	Keeper    *Keeper
-	Log       *logrus.Entry
-	Pool      *peer.Pool
-	Scheduler *lease.Finder
+	// CutOffFunc reports whether neither the service nor the scheduler can be
+	// reached from here, of late. Nil means that it never is so.
+	CutOffFunc func() bool
+	Keeper     *Keeper
+	Log        *logrus.Entry
+	Pool       *peer.Pool
+	Scheduler  *lease.Finder
 }
 
 // Accept keeps a step. ErrUnavailable means that it is not kept and won't be;
@@ -44,9 +47,16 @@
 // A write that got no answer may take effect seconds later. To refuse the step
 // then would be untrue, so it is repeated until an answer tells: whichever of
 // the writes comes first counts, and the others find the step kept.
+//
+// An entry that is cut off refuses at once what it has not sent: another one can
+// keep the step, and seconds spent here are lost to the trainer.
 func (do *Door) Accept(ctx context.Context, st *Step) error {
 	ctx, cancel := context.WithTimeout(ctx, acceptTime)
 	defer cancel()
+	if do.cutOff() {
+		do.Log.WithField(stepField, st.ID).Warn("step refused: cut off from the service and the scheduler")
+		return errCutOff
+	}
 	unsure := false
 	for try := 1; ; try++ {
 		err := do.write(ctx, acceptMethod, *st, func(ctx context.Context) error { return do.Keeper.Accept(ctx, st) })
@@ -57,7 +67,7 @@
 			return nil
 		case errors.Is(err, ErrTooManyParts):
 			return err
-		case ctx.Err() == nil:
+		case ctx.Err() == nil && (unsure || !do.cutOff()):
 		case unsure:
 			return errors.Wrap(keyvalue.ErrOutcomeUnknown, err.Error())
 		default:
@@ -67,6 +77,12 @@
 	}
 }
 
+// errCutOff means that neither the service nor the scheduler can be reached.
+var errCutOff = errors.Wrap(keyvalue.ErrUnavailable, "cut off")
+
+// cutOff reports whether nothing can be kept or read from here.
+func (do *Door) cutOff() bool { return do.CutOffFunc != nil && do.CutOffFunc() }
+
 // notWritten reports whether a failed write surely has no effect.
 func notWritten(err error) bool {
 	return errors.IsAny(err, keyvalue.ErrUnavailable, keyvalue.ErrTooLarge, ErrTooManyParts)
@@ -102,12 +118,18 @@
 
 // End keeps that a step has ended.
 func (do *Door) End(ctx context.Context, id string) error {
+	if do.cutOff() {
+		return errCutOff
+	}
 	return do.write(ctx, endMethod, EndRequest{ID: id}, func(ctx context.Context) error { return do.Keeper.End(ctx, id) })
 }
 
 // Read returns a step's results from a position on. ErrUnknownStep means that
 // there is no such step, any other error that it can't be told now.
 func (do *Door) Read(ctx context.Context, rq ReadRequest) (Listing, error) {
+	if do.cutOff() {
+		return Listing{}, errCutOff
+	}
 	rq.Wait = min(max(rq.Wait, 0), maxReadWait)
 	li, err := ask[ReadRequest, Listing](ctx, do, readMethod, rq, rq.Wait+askTimeout)
 	if err == nil || errors.Is(err, ErrUnknownStep) {
@@ -120,6 +142,9 @@
 
 // Body returns the body of a step's item.
 func (do *Door) Body(ctx context.Context, rq BodyRequest) (BodyResponse, error) {
+	if do.cutOff() {
+		return BodyResponse{}, errCutOff
+	}
 	re, err := ask[BodyRequest, BodyResponse](ctx, do, bodyMethod, rq, askTimeout)
 	if err == nil || errors.Is(err, ErrUnknownStep) {
 		return re, err
--- a/step/keep_test.go
+++ b/step/keep_test.go
@@ -150,6 +150,49 @@
 	}
 }
 
+func TestCutOffDoorRefusesAtOnce(t *testing.T) {
+	// Symptom: a trainer's step is accepted 5 s late.
+	// Sequence: it is handed in at an entry that is cut off, which tries for
+	// seconds; the trainer gives up there and meets another such entry.
+	// Cause: an entry that knows that it can keep nothing did not say so.
+	synctest.Test(t, func(t *testing.T) {
+		var me keyvalue.Memory
+		me.SetFaults(keyvalue.Faults{Outage: true})
+		do := doorOf(&Keeper{Client: me.Client()})
+		cutOff := false
+		do.CutOffFunc = func() bool { return cutOff }
+		time.AfterFunc(time.Second, func() { cutOff = true })
+		begun := time.Now()
+		err := do.Accept(t.Context(), stepOf("s", 1))
+		assert.Assert(t, errors.Is(err, keyvalue.ErrUnavailable))
+		assert.Assert(t, time.Since(begun) < 2*time.Second, "it stops trying when it learns of the cut")
+		begun = time.Now()
+		assert.Assert(t, errors.Is(do.Accept(t.Context(), stepOf("s", 1)), keyvalue.ErrUnavailable))
+		_, err = do.Read(t.Context(), ReadRequest{ID: "s", Wait: time.Second})
+		assert.Assert(t, err != nil && !errors.Is(err, ErrUnknownStep))
+		_, err = do.Body(t.Context(), BodyRequest{Step: "s"})
+		assert.Assert(t, err != nil && !errors.Is(err, ErrUnknownStep))
+		assert.Assert(t, do.End(t.Context(), "s") != nil)
+		assert.Equal(t, time.Since(begun), time.Duration(0))
+	})
+}
+
+func TestCutOffDoorDoesNotDenyWhatItSent(t *testing.T) {
+	// Symptom: a step runs that its trainer was told would not.
+	// Sequence: a write gets no answer, and then the entry is cut off.
+	// Cause: the refusal of an entry that is cut off was given for a step that
+	// may be kept.
+	synctest.Test(t, func(t *testing.T) {
+		var me keyvalue.Memory
+		me.SetFaults(keyvalue.Faults{Delay: time.Minute})
+		do := doorOf(&Keeper{Client: me.Client()})
+		cutOff := false
+		do.CutOffFunc = func() bool { return cutOff }
+		time.AfterFunc(time.Second, func() { cutOff = true })
+		assert.Assert(t, errors.Is(do.Accept(t.Context(), stepOf("s", 1)), keyvalue.ErrOutcomeUnknown))
+	})
+}
+
 func TestReadsWithoutAScheduler(t *testing.T) {
 	// Symptom: a reader is told that its step does not exist.
 	// Sequence: the scheduler is gone and no other has taken over yet.
