report: what steps waited for, from the logs; limits that change while serving

- `wisteriacroft report FILE...` follows each step's last item from its acceptance to its listing, divides its time by cause, and counts late steps by cause.
- The limits of the configuration on heads and idle connections hold as they change: package process had fixed ones, so that a longer idle time of the operators would have cut connections that callers still use.

--- a/cmd/platformentrycmd.go
+++ b/cmd/platformentrycmd.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
 	"wisteriacroft/forward"
@@ -64,6 +65,7 @@
 	}).Run)
 	ho.serveMetrics(lc)
 	sv := roleprocess.NewHTTPServer(roleprocess.CloseWhile(ga.stopping.Load, ga))
+	ho.guard().Protect(sv)
 	serve(lc, ho.settings.CallerAddress, sv, func(ctx context.Context) error {
 		ga.drain(ctx)
 		return sv.Shutdown(ctx)
@@ -78,6 +80,26 @@
 	serve(lc, ho.settings.ReadyAddress, ready, func(context.Context) error { return nil })
 }
 
+// guard returns what holds callers to the limits of the configuration in force.
+func (ho *host) guard() *roleprocess.Guard {
+	return &roleprocess.Guard{
+		LimitsFunc: func() roleprocess.Limits {
+			co := ho.directory.Configuration()
+			if co == nil {
+				return roleprocess.Limits{}
+			}
+			return roleprocess.Limits{
+				HeaderSize: co.Limits.HeaderSize, HeaderTimeout: co.Limits.HeaderTimeout, IdleTimeout: co.Limits.IdleTimeout,
+			}
+		},
+		RejectedFunc: func(rq *http.Request, size int) {
+			ho.log.WithFields(logrus.Fields{
+				"host": rq.Host, "path": rq.URL.Path, "reason": "head is too large", "size": size,
+			}).Warn("rejected")
+		},
+	}
+}
+
 // A gateway counts the requests that run.
 type gateway struct {
 	handler  http.Handler
--- a/forward/request.go
+++ b/forward/request.go
@@ -60,16 +60,21 @@
 	rq.setDeadline(parseDeadline(hr.Header.Get(fo.Headers.Deadline)))
 	var err error
 	rq.body, err = ReadBody(rw, hr, co.Limits.BodySize)
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return nil, &rejection{reason: "body is too large", status: http.StatusRequestEntityTooLarge}
-	case err != nil:
-		return nil, &rejection{reason: "body is not whole", status: http.StatusBadRequest}
+	if err != nil {
+		return nil, &rejection{reason: err.Error(), status: BodyStatus(err)}
 	}
 	return rq, nil
 }
 
+// BodyStatus returns the status for a body that could not be read whole.
+func BodyStatus(err error) int {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusBadRequest
+}
+
 // ReadBody reads a request's body of at most limit bytes; 0 means no limit.
 func ReadBody(rw http.ResponseWriter, hr *http.Request, limit int64) ([]byte, error) {
 	body := hr.Body
--- /dev/null
+++ b/lateness/report_test.go
@@ -0,0 +1,39 @@
+package lateness
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+func TestReport(t *testing.T) {
+	for _, name := range []string{"empty", "causes", "broken"} {
+		t.Run(name, func(t *testing.T) {
+			fi, err := os.Open("testdata/" + name + ".log")
+			assert.NilError(t, err)
+			defer fi.Close()
+			var out strings.Builder
+			assert.NilError(t, Report(fi, &out))
+			golden.Assert(t, out.String(), name+".golden")
+		})
+	}
+}
+
+var errFull = errors.New("disk is full")
+
+type fullWriter struct{}
+
+func (fullWriter) Write([]byte) (int, error) { return 0, errFull }
+
+func TestReportThatCannotBeWritten(t *testing.T) {
+	assert.Assert(t, errors.Is(Report(strings.NewReader(""), fullWriter{}), errFull))
+}
+
+func TestLineThatIsTooLong(t *testing.T) {
+	err := Report(strings.NewReader("{"+strings.Repeat("x", maxLine+1)), &strings.Builder{})
+	assert.ErrorContains(t, err, "read the log")
+}
--- /dev/null
+++ b/process/guard_test.go
@@ -0,0 +1,78 @@
+package process
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// closed reports whether the other end of a pipe is closed.
+func closed(co net.Conn) bool {
+	_ = co.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err := co.Read(make([]byte, 1))
+	ne, ok := err.(net.Error)
+	return !ok || !ne.Timeout()
+}
+
+func TestGuardFollowsChangedLimits(t *testing.T) {
+	// Symptom: a client's request gets no answer.
+	// Sequence: operators allow longer idle times; a client keeps to them and
+	// reuses a connection that the server has just closed.
+	// Cause: the bound was fixed when the server started.
+	synctest.Test(t, func(t *testing.T) {
+		li := Limits{HeaderTimeout: time.Second, IdleTimeout: 10 * time.Second}
+		gu := &Guard{LimitsFunc: func() Limits { return li }}
+		far, near := net.Pipe()
+		gu.follow(near, http.StateNew)
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, !closed(far), "it may be idle and then send a head")
+		gu.follow(near, http.StateActive)
+		time.Sleep(time.Hour)
+		assert.Assert(t, !closed(far), "a request may take any time")
+		li.IdleTimeout = 10 * time.Minute
+		gu.follow(near, http.StateIdle)
+		time.Sleep(10 * time.Minute)
+		assert.Assert(t, !closed(far))
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, closed(far))
+		gu.follow(near, http.StateClosed)
+		assert.Equal(t, len(gu.timers), 0)
+	})
+}
+
+func TestGuardedHeads(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		limit  int
+		size   int
+		status int
+	}{
+		{"small", 1000, 10, http.StatusOK},
+		{"just within", 1000, 1000 - len("GET / HTTP/1.1\r\nX-Long: \r\n"), http.StatusOK},
+		{"just beyond", 1000, 1001 - len("GET / HTTP/1.1\r\nX-Long: \r\n"), http.StatusRequestHeaderFieldsTooLarge},
+		{"the usual bound", 0, maxHeaderSize, http.StatusRequestHeaderFieldsTooLarge},
+		{"more than the usual bound is allowed", 2 * maxHeaderSize, maxHeaderSize, http.StatusOK},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			rejected := 0
+			gu := &Guard{
+				LimitsFunc:   func() Limits { return Limits{HeaderSize: tc.limit} },
+				RejectedFunc: func(*http.Request, int) { rejected++ },
+			}
+			sv := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+			gu.Protect(sv)
+			rq := httptest.NewRequest(http.MethodGet, "/", nil)
+			rq.Header.Set("X-Long", strings.Repeat("x", tc.size))
+			rec := httptest.NewRecorder()
+			sv.Handler.ServeHTTP(rec, rq)
+			assert.Equal(t, rec.Code, tc.status)
+			assert.Equal(t, rejected, map[bool]int{true: 0, false: 1}[tc.status == http.StatusOK])
+		})
+	}
+}
--- a/step/table.go
+++ b/step/table.go
@@ -206,7 +206,8 @@
 	ta.order = append(ta.order, sr)
 	slices.SortStableFunc(ta.order, func(a, b *stepRow) int { return a.step.Accepted.Compare(b.step.Accepted) })
 	ta.log("step accepted", map[string]any{
-		"groups": len(sr.groups), "items": len(st.Items), "listed": len(sr.results), "min-version": st.MinVersion, "model": st.Model,
+		"due-ms": st.Due.Milliseconds(), "groups": len(sr.groups), "items": len(st.Items), "listed": len(sr.results),
+		"min-version": st.MinVersion, "model": st.Model,
 		"number": st.Number, stepField: st.ID, "target": st.Groups,
 	})
 }
