--- a/directory/follower.go
+++ b/directory/follower.go
@@ -120,7 +120,7 @@
 	var after int64
 	scan := true
 	for ctx.Err() == nil {
-		ch, err := fo.nextWithin(ctx, prefix, after, scan, wait)
+		ch, err := fo.next(ctx, prefix, after, scan, wait)
 		if ctx.Err() != nil {
 			return
 		}
@@ -148,11 +148,7 @@
 	}
 }
 
-func (fo *Follower) next(ctx context.Context, prefix string, after int64, scan bool) (keyvalue.Changes, error) {
-	return fo.nextWithin(ctx, prefix, after, scan, followWait)
-}
-
-func (fo *Follower) nextWithin(
+func (fo *Follower) next(
 	ctx context.Context, prefix string, after int64, scan bool, wait time.Duration,
 ) (keyvalue.Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+followSlack)
--- a/process/guard_test.go
+++ b/process/guard_test.go
@@ -4,11 +4,13 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 )
 
@@ -16,8 +18,7 @@
 func closed(co net.Conn) bool {
 	_ = co.SetReadDeadline(time.Now().Add(time.Millisecond))
 	_, err := co.Read(make([]byte, 1))
-	ne, ok := err.(net.Error)
-	return !ok || !ne.Timeout()
+	return !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 func TestGuardFollowsChangedLimits(t *testing.T) {
