step: an ended step's results are answered as read, also when the term ends

The results of old steps are dropped from memory and read again when someone asks; the answer was then taken from the table, which takes nothing in once the term is over.

TestReadWhileTheTermEnds fails before (no result) and passes after.

--- a/step/keep_test.go
+++ b/step/keep_test.go
@@ -239,6 +239,36 @@
 	})
 }
 
+func TestReadWhileTheTermEnds(t *testing.T) {
+	// Symptom: a reader is told that there is nothing at a position that it has
+	// read before.
+	// Sequence: a step has ended and its results are dropped from memory; a reader
+	// asks for them again, and while they are read the scheduler retires.
+	// Cause: the answer was taken from the table, which takes nothing in once its
+	// term is over.
+	var me keyvalue.Memory
+	ke := &Keeper{Client: me.Client()}
+	assert.NilError(t, ke.Accept(t.Context(), stepOf("s", 2)))
+	_, err := ke.Write(t.Context(), keyvalue.Expectation{Key: "lease"}, Update{
+		Chunks: []Chunk{{Step: "s", Results: []Result{{Item: "a"}, {Item: "b"}}}},
+	})
+	assert.NilError(t, err)
+	ta := NewTable(1, nil)
+	ta.Accept(stepOf("s", 2), Kept{}, true, begin)
+	te := &term{epoch: 1, ready: true, table: ta}
+	for _, tc := range []struct {
+		name string
+		term *term
+	}{{"it has ended", nil}, {"it lasts", te}, {"it lasts, and the results are held", te}} {
+		sc := &Scheduler{Keeper: ke, term: tc.term}
+		li, err := sc.readEnded(t.Context(), te, ta.steps["s"], ReadRequest{After: 1, ID: "s"})
+		assert.NilError(t, err, tc.name)
+		assert.Equal(t, li.Total, 2, tc.name)
+		assert.Equal(t, len(li.Results), 1, tc.name)
+	}
+	assert.Equal(t, len(ta.steps["s"].results), 2)
+}
+
 func TestIntakeForgetsDroppedSteps(t *testing.T) {
 	// Symptom: a scheduler's memory grows with each step for as long as it runs.
 	// Sequence: steps are accepted, end, and are dropped when no one reads them.
--- a/step/read.go
+++ b/step/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -56,21 +57,24 @@
 	}
 }
 
-// readEnded reads the results of a step that ended before this scheduler's term.
+// readEnded reads the results of a step that this scheduler does not hold: it
+// ended before the scheduler's term, or its results were dropped from memory.
+//
+// The answer is what was read, not what the table holds then: the term may have
+// ended meanwhile, and the table of a scheduler that retires takes nothing in. A
+// reader was told that there was nothing where it had read results before.
 func (sc *Scheduler) readEnded(ctx context.Context, te *term, sr *stepRow, rq ReadRequest) (Listing, error) {
 	chunks, err := sc.Keeper.Listed(ctx, rq.ID)
 	if err != nil {
 		return Listing{}, errors.Wrapf(ErrUnsure, "%v", err)
 	}
+	results := slices.Concat(chunks...)
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	if sc.term == te && !sr.loaded {
-		sr.loaded = true
-		for _, chunk := range chunks {
-			sr.results = append(sr.results, chunk...)
-		}
+		sr.loaded, sr.results = true, results
 	}
-	return sr.listing(rq.After), nil
+	return page(results, rq.After, len(sr.step.Items)), nil
 }
 
 // maxListing bounds the text of one answer, in bytes: an answer may have 1 MB,
