Read again: decisions out of the adapter, work done twice, long test files

No behaviour changes; load.golden and all expectations are as they were.

- platform/ decided three things: what an unknown kind of route means (now the zero Kind, which runs once), which service runs a step's items (now Route.StepService), and how a refusal is written (now forward.Refuse, which stood twice).
- step: the fastest engine's base was looked for among all engines for each item and engine, now once a tick; the next engine to load was found twice; the time to spare and the median of paces stood twice.
- lateness: bufio keeps the first error of writing, no type of our own.

--- a/directory/configuration.go
+++ b/directory/configuration.go
@@ -14,7 +14,7 @@
 // The kinds of routes.
 const (
 	Repeatable Kind = "repeatable" // running more than once does no harm
-	Once       Kind = "once"       // runs at most once for each request
+	Once       Kind = ""           // runs at most once for each request: safe for a kind that is not known
 	Steps      Kind = "steps"      // whole steps of a trainer, kept and run later
 )
 
@@ -51,6 +51,15 @@
 	Timeout       time.Duration
 }
 
+// StepService returns the service that runs the items of the route's steps, or
+// "". A step's items share their prompts, so that one service runs them all.
+func (ro Route) StepService() string {
+	if len(ro.Shares) == 0 {
+		return ""
+	}
+	return ro.Shares[0].Service
+}
+
 // A Model is one that a service's engines serve.
 type Model struct{ Name string }
 
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -94,10 +94,10 @@
 		"version": fo.Directory.Configuration().Version,
 	}).Warn("not served")
 	if re.notRun {
-		refuse(rw, http.StatusServiceUnavailable, fo.refusedRetry())
+		Refuse(rw, http.StatusServiceUnavailable, fo.refusedRetry())
 		return
 	}
-	refuse(rw, http.StatusGatewayTimeout, 0)
+	Refuse(rw, http.StatusGatewayTimeout, 0)
 }
 
 // refusedRetry returns when a caller may come back whose request no endpoint
@@ -210,11 +210,12 @@
 		requestField: hr.Header.Get(fo.Headers.RequestID), "status": rj.status,
 	}).Warn("rejected")
 	fo.count("rejected")
-	refuse(rw, rj.status, rj.retryAfter)
+	Refuse(rw, rj.status, rj.retryAfter)
 }
 
-// refuse writes an answer of the entry's own.
-func refuse(rw http.ResponseWriter, status int, retryAfter time.Duration) {
+// Refuse writes an answer of the entry's own, and after how long the caller may
+// come back; 0 says nothing of it.
+func Refuse(rw http.ResponseWriter, status int, retryAfter time.Duration) {
 	if retryAfter > 0 {
 		rw.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -88,9 +88,9 @@
 	case begun:
 		panic(http.ErrAbortHandler)
 	case re.notRun:
-		refuse(rw, http.StatusServiceUnavailable, fullRetry)
+		Refuse(rw, http.StatusServiceUnavailable, fullRetry)
 	case re.err != nil:
-		refuse(rw, http.StatusBadGateway, 0)
+		Refuse(rw, http.StatusBadGateway, 0)
 	default:
 		writeAnswer(rw, re)
 	}
--- a/lateness/report.go
+++ b/lateness/report.go
@@ -1,6 +1,7 @@
 package lateness
 
 import (
+	"bufio"
 	"cmp"
 	"fmt"
 	"io"
@@ -134,32 +135,32 @@
 		return err
 	}
 	pace := usualPace(steps)
-	ou := &output{wr: wr}
-	ou.printf("usual pace of an event: %d ms\n\n", pace.Milliseconds())
-	ou.printf("%-16s %-16s %4s %8s %-16s", "step", "model", "no", "took-s", "last item")
-	ou.printf(" %7s %7s %7s %7s %7s %7s  %s\n", "wait", "again", "slow", "length", "list", "trainer", "cause")
+	bw := bufio.NewWriter(wr) // keeps the first error for Flush
+	_, _ = fmt.Fprintf(bw, "usual pace of an event: %d ms\n\n", pace.Milliseconds())
+	_, _ = fmt.Fprintf(bw, "%-16s %-16s %4s %8s %-16s", "step", "model", "no", "took-s", "last item")
+	_, _ = fmt.Fprintf(bw, " %7s %7s %7s %7s %7s %7s  %s\n", "wait", "again", "slow", "length", "list", "trainer", "cause")
 	late := map[Cause]int{}
 	for _, st := range steps {
 		la, ok := explain(st, pace)
 		if !ok {
-			ou.printf("%-16s %-16s %4d no item was whole\n", st.id, st.model, st.number)
+			_, _ = fmt.Fprintf(bw, "%-16s %-16s %4d no item was whole\n", st.id, st.model, st.number)
 			continue
 		}
 		took := la.step.took(la.item)
-		ou.printf("%-16s %-16s %4d %8.2f %-16s", st.id, st.model, st.number, took.Seconds(), la.item.id)
+		_, _ = fmt.Fprintf(bw, "%-16s %-16s %4d %8.2f %-16s", st.id, st.model, st.number, took.Seconds(), la.item.id)
 		for _, ca := range causes {
-			ou.printf(" %7.2f", la.parts[ca].Seconds())
+			_, _ = fmt.Fprintf(bw, " %7.2f", la.parts[ca].Seconds())
 		}
-		ou.printf("  %s\n", la.main())
+		_, _ = fmt.Fprintf(bw, "  %s\n", la.main())
 		if took > st.due {
 			late[la.main()]++
 		}
 	}
-	ou.printf("\nsteps that took longer than their due time, by cause:\n")
+	_, _ = fmt.Fprintf(bw, "\nsteps that took longer than their due time, by cause:\n")
 	for _, ca := range causes {
-		ou.printf("%4d %s\n", late[ca], ca)
+		_, _ = fmt.Fprintf(bw, "%4d %s\n", late[ca], ca)
 	}
-	return errors.Wrap(ou.err, "write the report")
+	return errors.Wrap(bw.Flush(), "write the report")
 }
 
 // took returns how long a step took: to its end, or to its last item's if it has
@@ -170,15 +171,3 @@
 	}
 	return st.ended.Sub(st.accepted)
 }
-
-// An output keeps the first error of writing.
-type output struct {
-	err error
-	wr  io.Writer
-}
-
-func (ou *output) printf(format string, args ...any) {
-	if ou.err == nil {
-		_, ou.err = fmt.Fprintf(ou.wr, format, args...)
-	}
-}
--- /dev/null
+++ b/roster/benchmark_test.go
@@ -0,0 +1,88 @@
+package roster_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"wisteriacroft/instancelist"
+	"wisteriacroft/message"
+	"wisteriacroft/roster"
+)
+
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{10, 100, 400} {
+		b.Run(fmt.Sprintf("attendants=%d", n), func(b *testing.B) {
+			pl := newPlant(max(2, n/25), n, 3*n, 9)
+			for range 100 {
+				for _, at := range pl.attendants {
+					at.reporter.Systems()[0].Run(time.Now())
+				}
+			}
+			ta := pl.entries[0].table
+			for b.Loop() {
+				for _, sy := range ta.Systems() {
+					sy.Run(time.Now())
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkExchange(b *testing.B) {
+	for _, n := range []int{10, 100, 400} {
+		b.Run(fmt.Sprintf("attendants=%d", n), func(b *testing.B) {
+			ta := &roster.Table{Instance: "entry-00"}
+			ta.ObserveList([]instancelist.Instance{{ID: "entry-01", Role: "entry", State: instancelist.Live}})
+			for i := range n {
+				ta.Report(message.Header{}, news(i, 1))
+			}
+			for b.Loop() {
+				ta.Exchange(message.Header{Sender: "entry-01"}, roster.ExchangeRequest{})
+			}
+		})
+	}
+}
+
+func BenchmarkReport(b *testing.B) {
+	ta := &roster.Table{Instance: "entry-00"}
+	for i := range 400 {
+		ta.Report(message.Header{}, news(i, 1))
+	}
+	beat := uint64(1)
+	for b.Loop() {
+		beat++
+		ta.Report(message.Header{}, news(int(beat%400), beat))
+	}
+}
+
+func news(i int, beat uint64) roster.ReportRequest {
+	id := fmt.Sprintf("attendant-%03d", i)
+	ne := roster.News{Beat: beat, Incarnation: 1, Instance: id, Card: &roster.Card{Address: id, FailureDomain: "derby-hall"}}
+	for e := range 3 {
+		ne.Card.Endpoints = append(ne.Card.Endpoints, roster.CardEndpoint{ID: fmt.Sprintf("%s-%d", id, e), Service: "marker-llm"})
+		ne.Endpoints = append(ne.Endpoints, roster.EndpointNews{Version: 6, Running: int(beat % 16)})
+	}
+	return roster.ReportRequest{News: ne}
+}
+
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range []int{10, 100, 400} {
+		b.Run(fmt.Sprintf("attendants=%d", n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				ta := &roster.Table{Instance: "entry-00"}
+				for i := range n {
+					ta.Report(message.Header{}, news(i, 1))
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(ta)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "bytes/attendant")
+		})
+	}
+}
--- a/step/pace.go
+++ b/step/pace.go
@@ -63,8 +63,7 @@
 		}
 	}
 	for service, paces := range byService {
-		slices.Sort(paces)
-		ta.paces[service] = paces[len(paces)/2]
+		ta.paces[service] = median(paces)
 	}
 	bases := map[string][]time.Duration{}
 	for _, en := range ta.sorted {
@@ -73,12 +72,18 @@
 			bases[en.service] = append(bases[en.service], en.base)
 		}
 	}
+	clear(ta.bests)
 	for service, all := range bases {
-		slices.Sort(all)
-		ta.bases[service] = all[len(all)/2]
+		ta.bases[service], ta.bests[service] = median(all), slices.Min(all)
 	}
 }
 
+// median returns the median of some durations, which it sorts.
+func median(all []time.Duration) time.Duration {
+	slices.Sort(all)
+	return all[len(all)/2]
+}
+
 // judgePace tells whether an engine is much slower than the median.
 func (ta *Table) judgePace(en *engineRow, now time.Time) {
 	if en.report.PaceGaps >= paceGaps {
@@ -175,7 +180,7 @@
 		if !ir.run.confirmed || ir.moves >= maxMoves || float64(held) < movedPart*float64(en.tokens) {
 			continue
 		}
-		ir.spare = ir.step.step.Due - ir.step.age(now) - ir.expectedTime()
+		ir.spare = ir.timeToSpare(now)
 		if best == nil || ir.spare > best.spare || ir.spare == best.spare && ir.item.ID < best.item.ID {
 			best = ir
 		}
@@ -270,6 +275,6 @@
 // the best all day. What else an engine runs does not count: a run that left a
 // full engine for an emptier one found that one full as soon as others came.
 func (ta *Table) long(en *engineRow, ir *itemRow) bool {
-	best := float64(ta.bestBase(en.service))
+	best := float64(ta.bests[en.service])
 	return best < (1-paceTolerance)*float64(en.base) && len(ir.events)-ir.run.prior >= minMoveEvents
 }
--- a/step/place.go
+++ b/step/place.go
@@ -163,7 +163,7 @@
 	for _, sr := range ta.order {
 		for _, ir := range sr.items {
 			if ir.state == waiting {
-				ir.spare = sr.step.Due - sr.age(now) - ir.expectedTime()
+				ir.spare = ir.timeToSpare(now)
 				irs = append(irs, ir)
 			}
 		}
@@ -172,6 +172,12 @@
 	return irs
 }
 
+// timeToSpare returns how long an item can wait and still end when its step is
+// due.
+func (ir *itemRow) timeToSpare(now time.Time) time.Duration {
+	return ir.step.step.Due - ir.step.age(now) - ir.expectedTime()
+}
+
 // tokenTime is what a token takes at an engine with full places.
 const tokenTime = 630 * time.Microsecond
 
@@ -242,7 +248,7 @@
 func (ta *Table) paceCost(en *engineRow, ir *itemRow) float64 {
 	took := ir.expectedTime().Seconds()
 	cost := took * placesPerSecond * float64(en.context()) * slowdownPerToken
-	best := ta.bestBase(en.service)
+	best := ta.bests[en.service]
 	if best == 0 || en.base == 0 {
 		return cost
 	}
@@ -298,17 +304,6 @@
 	return time.Duration(float64(base) * slowdown(runs, tokens))
 }
 
-// bestBase returns the base of the fastest engine of a service, or 0.
-func (ta *Table) bestBase(service string) time.Duration {
-	best := time.Duration(0)
-	for _, en := range ta.sorted {
-		if en.service == service && en.base > 0 && (best == 0 || en.base < best) {
-			best = en.base
-		}
-	}
-	return best
-}
-
 // start gives an item a place.
 func (ta *Table) start(ir *itemRow, en *engineRow, now time.Time) {
 	ta.attempt++
--- a/step/table.go
+++ b/step/table.go
@@ -126,6 +126,7 @@
 	gauges  map[string]*tokenGauge   // by model
 	savedAt time.Time                // of the last checkpoint
 	bases   map[string]time.Duration // base of the median engine, by service
+	bests   map[string]time.Duration // base of the fastest engine, by service
 	paces   map[string]time.Duration // of the median engine, by service
 }
 
@@ -140,7 +141,7 @@
 	}
 	ta := &Table{
 		attempt: epoch << attemptBits, demand: map[string]float64{}, engines: map[string]*engineRow{}, epoch: epoch, gauges: map[string]*tokenGauge{}, log: log,
-		bases: map[string]time.Duration{}, paces: map[string]time.Duration{}, named: map[string]uint64{}, lengths: map[string]int{}, reuse: map[string]*itemRow{},
+		bases: map[string]time.Duration{}, bests: map[string]time.Duration{}, paces: map[string]time.Duration{}, named: map[string]uint64{}, lengths: map[string]int{}, reuse: map[string]*itemRow{},
 		steps: map[string]*stepRow{},
 	}
 	ta.rank = ta.score
--- a/step/weights.go
+++ b/step/weights.go
@@ -56,32 +56,36 @@
 	}
 	shares := ta.shares(ens)
 	for loading < max(leastAtOnce, len(ens)/partAtOnce) {
-		model := ta.neediest(ens, shares)
-		if model == "" {
+		en, model := ta.neediest(ens, shares)
+		if en == nil {
 			return
 		}
-		ta.load(ta.oldest(ens, model), model, now)
+		ta.load(en, model, now)
 		loading++
 	}
 }
 
 // neediest returns the model that has the fewest engines with its newest
-// version for its share, and an engine that may load it, or "".
-func (ta *Table) neediest(ens []*engineRow, shares map[string]float64) string {
-	best, least := "", 1.0
-	for _, model := range slices.Sorted(maps.Keys(shares)) {
+// version for its share, and the engine that is to load it, or nil.
+func (ta *Table) neediest(ens []*engineRow, shares map[string]float64) (en *engineRow, model string) {
+	least := 1.0
+	for _, candidate := range slices.Sorted(maps.Keys(shares)) {
 		fresh := 0
-		for _, en := range ens {
-			if en.freshFor(model, ta.named[model]) {
+		for _, other := range ens {
+			if other.freshFor(candidate, ta.named[candidate]) {
 				fresh++
 			}
 		}
 		// A share is met by the engine that passes it.
-		if part := float64(fresh) / math.Ceil(shares[model]); part < least && ta.oldest(ens, model) != nil {
-			best, least = model, part
+		part := float64(fresh) / math.Ceil(shares[candidate])
+		if part >= least {
+			continue
+		}
+		if oldest := ta.oldest(ens, candidate); oldest != nil {
+			en, model, least = oldest, candidate, part
 		}
 	}
-	return best
+	return en, model
 }
 
 // freshFor reports whether an engine has a version of a model, or loads it.
