soak: out of platform/, whose stand-ins speak the wire for it

platform/ held the soak, with its table of faults, its timers and its checks, since these were mixed with names of the wire.

No check of the soak changes: a result that is not completed counts as lost, as it is listed.

--- a/cmd/soakcmd.go
+++ b/cmd/soakcmd.go
@@ -11,7 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"wisteriacroft/platform/soak"
+	"wisteriacroft/soak"
 )
 
 // errSoak means that a soak saw a broken promise.
--- a/cmd/soakcmd_test.go
+++ b/cmd/soakcmd_test.go
@@ -8,7 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"wisteriacroft/platform/soak"
+	"wisteriacroft/soak"
 )
 
 // TestSoak runs a short seeded soak on real processes. Its verdict is that no
--- a/platform/soak/caller.go
+++ b/soak/caller.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"wisteriacroft/platform/standin"
 )
 
 const (
@@ -18,6 +20,8 @@
 	callPause = 60 * time.Millisecond
 	// callTime is how long a caller waits for an answer.
 	callTime = 4 * time.Second
+	// callDeadline is what it says of that, and the routes' timeout.
+	callDeadline = 3 * time.Second
 )
 
 // An outcome is what a caller saw of a request.
@@ -80,20 +84,12 @@
 	}
 	// A reader of its own type can't be read again, so that net/http sends once.
 	body := io.MultiReader(strings.NewReader("body of " + id))
-	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, rn.url(entry)+path, body)
-	if err != nil {
-		return 0, "", err
-	}
-	rq.Host = host
-	rq.Header.Set("X-Attempt-Id", id)
-	rq.Header.Set("X-Deadline-Ms", "3000")
-	resp, err := cl.Do(rq)
-	if err != nil {
-		return 0, "", err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(data), err
+	return rn.client(cl, entry).Call(ctx, path, id, body, callDeadline)
+}
+
+// client returns what speaks to an entry.
+func (rn *run) client(cl *http.Client, entry int) *standin.Client {
+	return &standin.Client{Base: rn.url(entry), HTTP: cl, Host: host}
 }
 
 // url returns the address of an entry for callers.
--- a/platform/soak/program.go
+++ b/soak/program.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -113,26 +112,3 @@
 	pg.mu.Unlock()
 	<-ended
 }
-
-// settingsOf returns a settings file as the platform writes it.
-func settingsOf(name, ip, domain, store, app string, port int) string {
-	text := fmt.Sprintf(`node = %q
-zone = %q
-ip = %q
-internal_ports = [%d,%d]
-`, name, domain, ip, port, port+15)
-	if app != "" {
-		text += fmt.Sprintf("app = %q\n", app)
-	}
-	return text + fmt.Sprintf(`[listen]
-front = "%s:%d"
-ready = "%s:%d"
-[limits]
-memory_mb = 200
-[bounds]
-grace_s = 8
-status_s = 120
-[platform]
-address = %q
-`, ip, port+2, ip, port+3, store)
-}
--- a/platform/soak/trainer.go
+++ b/soak/trainer.go
@@ -3,13 +3,13 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
 	"time"
+
+	"wisteriacroft/step"
 )
 
 const (
@@ -17,6 +17,8 @@
 	groupSize  = 4
 	// stepTime is how long the trainer waits for a step.
 	stepTime = 15 * time.Second
+	// readWait is how long a read waits for results.
+	readWait = 500 * time.Millisecond
 	// endSlack is how long after the answer to a step's end none of its items may
 	// begin.
 	endSlack = 3 * time.Second
@@ -24,20 +26,6 @@
 	trainTime = 200 * time.Millisecond
 )
 
-// A result is one as the trainer reads it.
-type result struct {
-	ID       string   `json:"id"`
-	State    string   `json:"state"`
-	Text     string   `json:"text"`
-	Versions []uint64 `json:"versions"`
-}
-
-type listing struct {
-	Next    int      `json:"next"`
-	Results []result `json:"results"`
-	Total   int      `json:"total"`
-}
-
 // train asks for one step after the other until ctx ends, and names a version
 // after each.
 func (rn *run) train(ctx context.Context) {
@@ -55,53 +43,26 @@
 		rn.reread(ctx, cl, id, read)
 		rn.endStep(ctx, cl, id)
 		sleep(ctx, trainTime)
-		rn.world.put(ctx, "op/version/"+model, map[string]any{"model": model, "version": number + 2})
-	}
-}
-
-// do makes a call of the trainer at an entry.
-func (rn *run) do(ctx context.Context, cl *http.Client, entry int, method, path string, body []byte, id string) (int, []byte) {
-	rq, err := http.NewRequestWithContext(ctx, method, rn.url(entry)+path, bytes.NewReader(body))
-	if err != nil {
-		return 0, nil
-	}
-	rq.Host = host
-	rq.Header.Set("X-Attempt-Id", id)
-	rq.Header.Set("X-Wait-Ms", "500")
-	resp, err := cl.Do(rq)
-	if err != nil {
-		return 0, nil
+		rn.world.operator().NameVersion(ctx, model, uint64(number+2))
 	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, nil
-	}
-	return resp.StatusCode, data
 }
 
 // submit hands a step in until it is accepted, and reports whether it was. An
 // entry that answers 503 promises that no part of it runs; another is asked.
 func (rn *run) submit(ctx context.Context, cl *http.Client, id string, number int, minVersion uint64) bool {
-	var items []map[string]any
+	st := &step.Step{Groups: stepGroups, ID: id, MinVersion: minVersion, Model: model, Number: number}
 	for group := range stepGroups {
 		for i := range groupSize {
 			item := fmt.Sprintf("%s-%d-%d", id, group, i)
-			items = append(items, map[string]any{
-				"id": item, "path": "/steps/" + item, "group": fmt.Sprint("g", group), "body": []byte(item),
-				"headers": map[string]string{"X-Token-Usage": "10,2000"}, "tokens": 2010,
+			st.Items = append(st.Items, step.Item{
+				Body: []byte(item), Group: fmt.Sprint("g", group), ID: item,
+				Path: "/steps/" + item, Prompt: 10, Tokens: 2010,
 			})
 		}
 	}
-	body, err := json.Marshal(map[string]any{
-		"step": number, "model": model, "min_version": minVersion, "target_groups": stepGroups, "items": items,
-	})
-	if err != nil {
-		panic(err) // built of strings and numbers
-	}
 	for try := range 40 {
-		status, _ := rn.do(ctx, cl, number+try, http.MethodPost, "/steps/"+id, body, id)
-		if status == http.StatusAccepted {
+		status, err := rn.client(cl, number+try).Submit(ctx, "/steps/"+id, st)
+		if err == nil && status == http.StatusAccepted {
 			return true
 		}
 		sleep(ctx, 200*time.Millisecond)
@@ -114,16 +75,15 @@
 
 // read reads a step's results until all are there or its time is up, and checks
 // each.
-func (rn *run) read(ctx context.Context, cl *http.Client, id string, minVersion uint64) []result {
-	var read []result
+func (rn *run) read(ctx context.Context, cl *http.Client, id string, minVersion uint64) []step.Result {
+	var read []step.Result
 	end := time.Now().Add(stepTime)
 	for try := 0; ctx.Err() == nil && time.Now().Before(end) && len(read) < stepGroups*groupSize; try++ {
-		status, data := rn.do(ctx, cl, try, http.MethodGet, fmt.Sprintf("/v1/lots/%s?after=%d", id, len(read)), nil, id)
-		var li listing
+		status, li, err := rn.client(cl, try).Read(ctx, id, len(read), readWait)
 		switch {
-		case status == http.StatusNotFound:
+		case err == nil && status == http.StatusNotFound:
 			rn.violate("step %s was accepted and is not found", id)
-		case status != http.StatusOK || json.Unmarshal(data, &li) != nil:
+		case err != nil || status != http.StatusOK:
 			sleep(ctx, 100*time.Millisecond)
 			continue
 		}
@@ -143,51 +103,50 @@
 
 // check checks that a result is the item's whole text, by the versions that it
 // names.
-func (rn *run) check(step string, re result, minVersion uint64) {
-	if re.State != "completed" || !strings.HasPrefix(re.ID, step+"-") {
-		rn.violate("step %s lists %s as %s", step, re.ID, re.State)
+func (rn *run) check(id string, re step.Result, minVersion uint64) {
+	if re.Lost || !strings.HasPrefix(re.Item, id+"-") {
+		rn.violate("step %s lists %s, lost: %t", id, re.Item, re.Lost)
 		return
 	}
-	lines := strings.Split(re.Text, "\n")
-	if len(lines) != lengthOf(re.ID) {
-		rn.violate("%s has %d events, not %d", re.ID, len(lines), lengthOf(re.ID))
+	lines := strings.Split(string(re.Text), "\n")
+	if len(lines) != lengthOf(re.Item) {
+		rn.violate("%s has %d events, not %d", re.Item, len(lines), lengthOf(re.Item))
 	}
 	var versions []uint64
 	for i, line := range lines {
 		var version uint64
-		if _, err := fmt.Sscanf(line, fmt.Sprintf("%s/%d/%%d", re.ID, i+1), &version); err != nil {
-			rn.violate("%s has %q as event %d", re.ID, line, i+1)
+		if _, err := fmt.Sscanf(line, fmt.Sprintf("%s/%d/%%d", re.Item, i+1), &version); err != nil {
+			rn.violate("%s has %q as event %d", re.Item, line, i+1)
 			return
 		}
 		if version < minVersion {
-			rn.violate("%s has an event of version %d under %d", re.ID, version, minVersion)
+			rn.violate("%s has an event of version %d under %d", re.Item, version, minVersion)
 		}
 		if !slices.Contains(versions, version) {
 			versions = append(versions, version)
 		}
 	}
 	if !slices.Equal(versions, re.Versions) {
-		rn.violate("%s names versions %v and was made by %v", re.ID, re.Versions, versions)
+		rn.violate("%s names versions %v and was made by %v", re.Item, re.Versions, versions)
 	}
 }
 
 // reread reads a step from the start at other entries: what was read stays at
 // its place.
-func (rn *run) reread(ctx context.Context, cl *http.Client, id string, read []result) {
+func (rn *run) reread(ctx context.Context, cl *http.Client, id string, read []step.Result) {
 	for entry := range rn.opts.Entries {
-		status, data := rn.do(ctx, cl, entry, http.MethodGet, "/v1/lots/"+id+"?after=0", nil, id)
-		var li listing
-		if status != http.StatusOK || json.Unmarshal(data, &li) != nil {
+		status, li, err := rn.client(cl, entry).Read(ctx, id, 0, readWait)
+		if err != nil || status != http.StatusOK {
 			continue
 		}
 		items := map[string]bool{}
 		for i, re := range li.Results {
-			if items[re.ID] {
-				rn.violate("%s stands at two positions", re.ID)
+			if items[re.Item] {
+				rn.violate("%s stands at two positions", re.Item)
 			}
-			items[re.ID] = true
-			if i < len(read) && (re.ID != read[i].ID || re.Text != read[i].Text) {
-				rn.violate("position %d of %s held %s and holds %s", i, id, read[i].ID, re.ID)
+			items[re.Item] = true
+			if i < len(read) && (re.Item != read[i].Item || !bytes.Equal(re.Text, read[i].Text)) {
+				rn.violate("position %d of %s held %s and holds %s", i, id, read[i].Item, re.Item)
 			}
 		}
 	}
@@ -196,7 +155,7 @@
 // endStep ends a step and, later, looks whether an item of it began after that.
 func (rn *run) endStep(ctx context.Context, cl *http.Client, id string) {
 	for try := range 100 {
-		if status, _ := rn.do(ctx, cl, try, http.MethodDelete, "/v1/lots/"+id, nil, id); status == http.StatusOK {
+		if status, err := rn.client(cl, try).End(ctx, id); err == nil && status == http.StatusOK {
 			break
 		}
 		if ctx.Err() != nil {
--- a/platform/soak/world.go
+++ b/soak/world.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"net"
@@ -12,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"wisteriacroft/directory"
 	"wisteriacroft/platform/standin"
 )
 
@@ -27,7 +27,7 @@
 	desks         = 3
 	slots         = 8
 	heartbeat     = time.Second
-	nameKey       = "name" // of services, routes and models in JSON
+	domain        = "a" // failure domain of all
 )
 
 // A world is everything that the soaked programs meet, and the programs.
@@ -141,51 +141,34 @@
 }
 
 func (wo *world) beat(ctx context.Context, id, service, address string, en *standin.Engine) {
-	entry := map[string]any{
-		"address": address, "service": service, "slots": slots, "state": "ready", "zone": "a",
-	}
+	endpoint := directory.Endpoint{Address: address, Domain: domain, ID: id, Service: service, Slots: slots}
 	if en != nil {
-		entry["models"] = []map[string]any{{nameKey: model, "version": en.Version()}}
+		endpoint.Models = []directory.Serving{{Model: model, Version: en.Version()}}
 	}
-	wo.put(ctx, "servers/"+id, entry)
+	wo.operator().Register(ctx, endpoint)
 }
 
-// put writes a key of the platform's own.
-func (wo *world) put(ctx context.Context, key string, value any) {
-	data, err := json.Marshal(value)
-	if err != nil {
-		panic(err) // built of strings and numbers
-	}
-	cl := wo.store.Memory.Client()
-	for ctx.Err() == nil {
-		it, _ := cl.Get(ctx, key) // version 0 if it isn't there
-		if string(it.Value) == string(data) {
-			return
-		}
-		if _, err := cl.Put(ctx, key, data, it.Version, 0); err == nil {
-			return
-		}
-		sleep(ctx, 20*time.Millisecond)
-	}
-}
+// operator returns who writes the platform's own keys.
+func (wo *world) operator() *standin.Operator { return &standin.Operator{Store: wo.store} }
 
 func (wo *world) configure(ctx context.Context) error {
-	route := func(name, kind, service string) map[string]any {
-		return map[string]any{
-			nameKey: name, "host": host, "prefix": "/" + name + "/", "kind": kind, "service": service, "timeout_ms": 3000,
-			"goal_ms": 500, "max_attempts": 3, "max_wait_s": 120, "due_ms": 8000, "resumable": true,
+	route := func(name string, kind directory.Kind, service string) directory.Route {
+		return directory.Route{
+			Due: 8 * time.Second, Goal: 500 * time.Millisecond, Host: host, Kind: kind, MaxAttempts: 3, MaxWait: 2 * time.Minute,
+			Name: name, Prefix: "/" + name + "/", Resumable: true, Shares: []directory.Share{{Service: service}},
+			Timeout: callDeadline,
 		}
 	}
-	wo.put(ctx, "op/config", map[string]any{
-		"version": 1,
-		"routes": []map[string]any{
-			route("safe", "safe", deskService), route("once", "unsafe", deskService), route("steps", "rollout", engineService),
+	wo.operator().Configure(ctx, directory.Configuration{
+		Limits: directory.Limits{BodySize: 1 << 20},
+		Routes: []directory.Route{
+			route("safe", directory.Repeatable, deskService), route("once", directory.Once, deskService),
+			route("steps", directory.Steps, engineService),
 		},
-		"services": []map[string]any{
-			{nameKey: deskService},
-			{nameKey: engineService, "engine": map[string]any{"slots": slots, "models": []map[string]any{{nameKey: model}}}},
+		Services: []directory.Service{
+			{Name: deskService}, {Models: []directory.Model{{Name: model}}, Name: engineService, Slots: slots},
 		},
-		"limits": map[string]any{"max_body_bytes": 1 << 20},
+		Version: 1,
 	})
 	return ctx.Err()
 }
@@ -198,7 +181,7 @@
 	name := fmt.Sprintf("%s-%d", role, number)
 	pg := &program{
 		dir: opts.Dir, ip: ip, name: name, role: role, store: pr,
-		settings: settingsOf(name, ip, "a", pr.address(), app, peerPort),
+		settings: standin.SettingsFile(name, ip, domain, pr.address(), app, peerPort),
 	}
 	wo.programs = append(wo.programs, pg)
 	return pg.run(opts.Binary)
