step, forward: score whole texts by reward calls

Change: an item whose text is whole waits for its score (state scoring); the scheduler makes the call through forward, which picks, hedges, tries again and judges as for live requests. Calls take half of a plain service's places at most, the step with the least time left first, in it the group that lacks the fewest items; unanswered calls pause for 0.1 to 1 s. Only answers that failed count towards giving an item up. Text of an earlier step keeps its score only for the same call. Time to spare includes the time that scores take of late.

--- a/cmd/platformentrycmd.go
+++ b/cmd/platformentrycmd.go
@@ -9,12 +9,9 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
-	"wisteriacroft/forward"
 	"wisteriacroft/platform"
 	roleprocess "wisteriacroft/process"
-	"wisteriacroft/retry"
 	"wisteriacroft/step"
-	"wisteriacroft/tick"
 )
 
 const (
@@ -28,13 +25,6 @@
 	// entry tries by itself, their tries leave half a second of it uncovered each.
 	// After a second, two of four missed the end of an outage of 7 s.
 	stepRetry = 500 * time.Millisecond
-	// expireEvery is how often what concerns endpoints that are gone is closed.
-	expireEvery = time.Second
-	// attemptRatio and attemptBurst bound attempts beyond the first: one for
-	// each five requests, so that an overload isn't doubled, and some at once
-	// when an endpoint fails under all that it serves.
-	attemptRatio = 0.2
-	attemptBurst = 30
 )
 
 // A PlatformEntryCmd runs an entry on the platform.
@@ -47,10 +37,7 @@
 
 // startEntry builds an entry.
 func (ho *host) startEntry(lc fx.Lifecycle) {
-	fo := &forward.Forwarder{
-		Budget:    retry.NewBudget(retry.Policy{Burst: attemptBurst, MaxAttempts: attemptBurst, Ratio: attemptRatio}, 1),
-		Directory: ho.directory, Domain: ho.settings.Domain, Headers: platform.Headers(), Log: ho.log, Metrics: ho.metrics,
-	}
+	fo := ho.forwarder()
 	su := &platform.Submissions{
 		Directory: ho.directory,
 		Door: &step.Door{
@@ -62,9 +49,7 @@
 	}
 	ga := &gateway{handler: su.Handler()}
 	background(lc, ho.follower(func() bool { return false }).Run)
-	background(lc, (&tick.Loop{
-		Every: expireEvery, Systems: []tick.System{{Name: "expire", Run: func(time.Time) { fo.Expire() }}},
-	}).Run)
+	background(lc, expire(fo))
 	ho.serveMetrics(lc)
 	sv := roleprocess.NewHTTPServer(roleprocess.CloseWhile(ga.stopping.Load, ga))
 	ho.guard().Protect(sv)
--- /dev/null
+++ b/cmd/platformforwarder.go
@@ -0,0 +1,38 @@
+package cmd
+
+import (
+	"context"
+	"time"
+
+	"wisteriacroft/forward"
+	"wisteriacroft/platform"
+	"wisteriacroft/retry"
+	"wisteriacroft/tick"
+)
+
+const (
+	// expireEvery is how often what concerns endpoints that are gone is closed.
+	expireEvery = time.Second
+	// attemptRatio and attemptBurst bound attempts beyond the first: one for
+	// each five requests, so that an overload isn't doubled, and some at once
+	// when an endpoint fails under all that it serves.
+	attemptRatio = 0.2
+	attemptBurst = 30
+)
+
+// forwarder returns what sends requests to plain endpoints: callers' at an
+// entry, reward calls at a scheduler.
+func (ho *host) forwarder() *forward.Forwarder {
+	return &forward.Forwarder{
+		Budget:    retry.NewBudget(retry.Policy{Burst: attemptBurst, MaxAttempts: attemptBurst, Ratio: attemptRatio}, 1),
+		Directory: ho.directory, Domain: ho.settings.Domain, Headers: platform.Headers(), Log: ho.log, Metrics: ho.metrics,
+	}
+}
+
+// expire returns what closes, until it is told to end, what concerns endpoints
+// that are gone.
+func expire(fo *forward.Forwarder) func(ctx context.Context) {
+	return (&tick.Loop{
+		Every: expireEvery, Systems: []tick.System{{Name: "expire", Run: func(time.Time) { fo.Expire() }}},
+	}).Run
+}
--- a/cmd/platformschedulercmd.go
+++ b/cmd/platformschedulercmd.go
@@ -36,8 +36,9 @@
 
 // startScheduler builds a scheduler.
 func (ho *host) startScheduler(lc fx.Lifecycle) {
+	fw := ho.forwarder()
 	sc := &step.Scheduler{
-		Directory: ho.directory,
+		CallFunc: fw.Call, Directory: ho.directory,
 		Holder: &lease.Holder{
 			Client: ho.store, Log: ho.log, Name: step.LeaseName, Owner: ho.settings.PeerAddress, TTL: leaseTime,
 		},
@@ -57,6 +58,7 @@
 	}
 	background(lc, sc.Run)
 	background(lc, fo.Run)
+	background(lc, expire(fw))
 	ho.serveMetrics(lc)
 	ho.servePeers(lc, &ps)
 	// Stops first, so that another scheduler takes over while this one still
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -21,15 +21,23 @@
 
 // A result is what became of one attempt.
 type result struct {
-	body     []byte
-	endpoint directory.Endpoint
-	err      error
-	header   http.Header
-	notRun   bool // the endpoint did not run the request and won't
-	status   int
-	stream   io.ReadCloser // instead of body, on streaming routes
-	took     time.Duration
-	tried    map[string]bool // endpoints that the request went to, if it was not served
+	attempts  int // endpoints that the request went to until now
+	body      []byte
+	endpoint  directory.Endpoint
+	err       error
+	failures  int // answers until now of endpoints that they failed
+	header    http.Header
+	notRun    bool   // the endpoint did not run the request and won't
+	signature string // the endpoint's mark on its answer
+	status    int
+	stream    io.ReadCloser // instead of body, on streaming routes
+	took      time.Duration
+	tried     map[string]bool // endpoints that the request went to, if it was not served
+}
+
+// failed reports whether the endpoint ran the request and failed it.
+func (re *result) failed() bool {
+	return re.err == nil && !re.notRun && re.status == http.StatusInternalServerError
 }
 
 // final reports whether the result answers the caller.
@@ -59,7 +67,7 @@
 		re.err, re.notRun = err, errors.Is(err, errNotSent)
 		return re
 	}
-	re.header, re.status = an.Header, an.Status
+	re.header, re.status, re.signature = an.Header, an.Status, an.Header.Get(fo.Headers.Signature)
 	re.notRun = an.Header.Get(fo.Headers.NotRun) != "" || an.Status == http.StatusMisdirectedRequest
 	if rq.streaming() && an.Status == http.StatusOK {
 		re.stream = an.Body
@@ -68,7 +76,7 @@
 	defer func() { _ = an.Body.Close() }()
 	re.body, re.err = io.ReadAll(an.Body)
 	re.took = time.Since(begun)
-	if re.err == nil && !re.notRun && an.Header.Get(fo.Headers.Signature) == "" && an.Status < http.StatusMultipleChoices {
+	if re.err == nil && !re.notRun && re.signature == "" && an.Status < http.StatusMultipleChoices {
 		re.err = errors.Wrap(errBroken, "answer has no mark of the endpoint")
 	}
 	return re
--- /dev/null
+++ b/forward/call_test.go
@@ -0,0 +1,134 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriacroft/directory"
+)
+
+func rewardCall() Call { return Call{Body: []byte("text"), Host: "desk", ID: "call", Path: "/a"} }
+
+func TestCall(t *testing.T) {
+	// Symptom: a sample bears a score that no endpoint gave for it, or is lost
+	// though no endpoint failed its call.
+	// Sequence: the first endpoint refuses, fails, breaks off or crosses its
+	// answer; there is a second one or not.
+	// Cause: what became of the first attempt was taken for something else.
+	for _, tc := range []struct {
+		name     string
+		first    behaviour
+		second   behaviour // nil: there is none
+		outcome  string
+		failures int
+		runs     int64
+	}{
+		{"answered", whole, nil, "answered", 0, 1},
+		{"refused", full, nil, "not-run", 0, 0},
+		{"refused, then answered", full, whole, "answered", 0, 1},
+		{"another endpoint has the address", another, nil, "not-run", 0, 0},
+		{"failed", failing, nil, "failed", 1, 1},
+		{"failed twice", failing, failing, "failed", 2, 2},
+		{"failed, then answered", failing, whole, "answered", 1, 2},
+		{"cut short", cutShort, nil, "broken", 0, 1},
+		{"cut short, then failed", cutShort, failing, "failed", 1, 2},
+		{"crossed", crossed, nil, "broken", 0, 1},
+		{"crossed, then answered", crossed, whole, "answered", 0, 2},
+		{"unsigned", unsigned, nil, "broken", 0, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			behaviours := []behaviour{tc.first}
+			if tc.second != nil {
+				behaviours = append(behaviours, tc.second)
+			}
+			// The kind says what callers' requests bear; reward calls bear repeats.
+			de := deploy(t, directory.Route{Kind: directory.Once, MaxAttempts: 2}, behaviours...)
+			re := de.forwarder.Call(t.Context(), rewardCall())
+			assert.Equal(t, re.Outcome(), tc.outcome)
+			assert.Equal(t, re.Failures, tc.failures)
+			assert.Equal(t, de.runs.Load(), tc.runs)
+			assert.Equal(t, re.Signature != "", tc.outcome == "answered")
+		})
+	}
+}
+
+func TestCallByTheRouteInForce(t *testing.T) {
+	// Symptom: a reward call reaches a service that its route no longer names.
+	// Sequence: the call fails, its route is moved, vanishes and comes back, and
+	// the call is made again each time.
+	// Cause: the route was looked up once, when the step was accepted.
+	de := deploy(t, directory.Route{MaxAttempts: 1}, whole)
+	set := func(version int64, routes ...directory.Route) {
+		de.forwarder.Directory.SetConfiguration(&directory.Configuration{Routes: routes, Version: version})
+	}
+	route := func(service string) directory.Route {
+		return directory.Route{Host: "desk", MaxAttempts: 1, Prefix: "/", Shares: []directory.Share{{Service: service, Weight: 1}}}
+	}
+	for _, tc := range []struct {
+		name    string
+		routes  []directory.Route
+		outcome string
+		runs    int64
+	}{
+		{"there", []directory.Route{route("desk")}, "answered", 1},
+		{"moved to a service without endpoints", []directory.Route{route("elsewhere")}, "not-run", 1},
+		{"gone", nil, "no-route", 1},
+		{"back", []directory.Route{route("desk")}, "answered", 2},
+	} {
+		set(de.forwarder.Directory.Configuration().Version+1, tc.routes...)
+		re := de.forwarder.Call(t.Context(), rewardCall())
+		assert.Equal(t, re.Outcome(), tc.outcome, tc.name)
+		assert.Equal(t, de.runs.Load(), tc.runs, tc.name)
+	}
+}
+
+func TestEndedCallSendsNothingMore(t *testing.T) {
+	// Symptom: a reward call reaches an endpoint seconds after its step's end.
+	// Sequence: the call waits at a silent endpoint; the step ends; the endpoint
+	// breaks off.
+	// Cause: the failed attempt was followed by another one.
+	held, release := make(chan struct{}), make(chan struct{})
+	silent := func(http.ResponseWriter, *http.Request, func()) {
+		close(held)
+		<-release
+	}
+	de := deploy(t, directory.Route{MaxAttempts: 3}, silent, whole)
+	defer close(release)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-held
+		cancel()
+	}()
+	re := de.forwarder.Call(ctx, rewardCall())
+	assert.Equal(t, re.Outcome(), "broken")
+	assert.Equal(t, de.runs.Load(), int64(0))
+}
+
+func TestCallNamesItsOwnDeadline(t *testing.T) {
+	// What an endpoint is granted is never above the route's timeout.
+	for _, tc := range []struct {
+		name    string
+		timeout time.Duration
+		digits  int // of the milliseconds granted
+	}{
+		{"route names none", 0, 4},
+		{"route names half a second", 500 * time.Millisecond, 3},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			granted := ""
+			de := deploy(t, directory.Route{MaxAttempts: 1, Timeout: tc.timeout}, func(rw http.ResponseWriter, rq *http.Request, run func()) {
+				granted = rq.Header.Get(headers.Deadline)
+				whole(rw, rq, run)
+			})
+			re := de.forwarder.Call(t.Context(), rewardCall())
+			assert.Equal(t, re.Outcome(), "answered")
+			assert.Equal(t, len(granted), tc.digits, granted)
+			assert.Assert(t, strings.Trim(granted, "0123456789") == "")
+		})
+	}
+}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -63,7 +63,7 @@
 		fo.reject(rw, hr, rj)
 		return
 	}
-	ctx, answered := callerGone(hr, rq.deadline)
+	ctx, answered := boundBy(hr.Context(), rq.deadline)
 	fo.Budget.First()
 	if rq.streaming() {
 		fo.serveStream(rw, hr, rq)
@@ -114,7 +114,7 @@
 func (fo *Forwarder) run(ctx context.Context, rq *request) *result {
 	tried := map[string]bool{}
 	results := make(chan *result, max(rq.route.MaxAttempts, 1))
-	running, ran := 0, false
+	running, failures, ran := 0, 0, false
 	last := &result{notRun: true}
 	launch := func() bool {
 		if len(tried) >= max(rq.route.MaxAttempts, 1) {
@@ -143,13 +143,17 @@
 	for running > 0 {
 		select {
 		case <-ctx.Done():
-			return &result{endpoint: last.endpoint, err: ctx.Err(), tried: tried}
+			return &result{attempts: len(tried), endpoint: last.endpoint, err: ctx.Err(), failures: failures, tried: tried}
 		case <-hedge.C:
 			if rq.repeatable() && fo.another(rq, tried, "slow") {
 				launch()
 			}
 		case re := <-results:
 			running--
+			if re.failed() {
+				failures++
+			}
+			re.attempts, re.failures = len(tried), failures
 			if re.final(rq.repeatable()) {
 				return re
 			}
@@ -161,7 +165,7 @@
 		}
 	}
 	if last.notRun && ran {
-		last = &result{endpoint: last.endpoint, err: errBroken}
+		last = &result{attempts: len(tried), endpoint: last.endpoint, err: errBroken, failures: failures}
 	}
 	last.tried = tried
 	return last
--- a/forward/request.go
+++ b/forward/request.go
@@ -119,11 +119,11 @@
 	return ""
 }
 
-// callerGone returns a context that ends when the caller leaves before the
-// request is answered, and at the request's deadline. Answered lets attempts
-// that still run come to their own end.
-func callerGone(hr *http.Request, deadline time.Time) (ctx context.Context, answered func()) {
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(hr.Context()), deadline)
-	stop := context.AfterFunc(hr.Context(), cancel)
-	return ctx, func() { stop() }
+// boundBy returns a context that ends with ctx before the request is answered,
+// and at its deadline. Answered lets attempts that still run come to their own
+// end.
+func boundBy(ctx context.Context, deadline time.Time) (bound context.Context, answered func()) {
+	bound, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	stop := context.AfterFunc(ctx, cancel)
+	return bound, func() { stop() }
 }
--- a/step/checkpoint.go
+++ b/step/checkpoint.go
@@ -59,7 +59,7 @@
 func (sr *stepRow) checkpoint() Checkpoint {
 	var irs []*itemRow
 	for _, ir := range sr.items {
-		if (ir.state == running || ir.state == waiting) && ir.unsaved() >= checkpointEvents {
+		if ir.open() && ir.unsaved() >= checkpointEvents {
 			irs = append(irs, ir)
 		}
 	}
--- a/step/engines.go
+++ b/step/engines.go
@@ -221,7 +221,7 @@
 		}
 		ir.step.gauge.observe(ir.item.Hint, len(ir.events))
 		ta.keep(ir)
-		ta.settle(ir, complete, now)
+		ta.whole(ir, now)
 	case runner.Impossible:
 		ta.release(ir)
 		ta.giveUp(ir, pr.Detail, now)
--- a/step/exchange.go
+++ b/step/exchange.go
@@ -58,7 +58,11 @@
 		}
 		if err == nil {
 			sc.mu.Lock()
-			te.table.Heard(id, rq, re, time.Now())
+			now := time.Now()
+			te.table.Heard(id, rq, re, now)
+			if sc.term == te {
+				sc.startRewards(te, now)
+			}
 			sc.mu.Unlock()
 		}
 		pause := exchangeEvery
--- a/step/field.go
+++ b/step/field.go
@@ -2,6 +2,7 @@
 
 // Names of fields of log lines that many lines carry.
 const (
+	callField   = "call" // id of a reward call
 	engineField = "engine"
 	itemField   = "item"
 	stepField   = "step"
--- a/step/follow.go
+++ b/step/follow.go
@@ -89,6 +89,9 @@
 	for _, id := range ended {
 		te.table.End(id)
 	}
+	if sc.term == te {
+		sc.startRewards(te, now)
+	}
 	if !te.ready {
 		te.ready = true
 		sc.Log.WithFields(logrus.Fields{"epoch": te.epoch, "open": len(te.table.order), "steps": len(in.steps)}).Info("scheduler is ready")
--- a/step/listing.go
+++ b/step/listing.go
@@ -40,7 +40,7 @@
 	for _, ir := range sr.items {
 		switch {
 		case ir.listed:
-		case ir.state != complete && ir.state != lost:
+		case ir.open():
 			left = true
 		case oldest.IsZero() || ir.doneAt.Before(oldest):
 			oldest = ir.doneAt
@@ -71,7 +71,7 @@
 	ch := Chunk{Number: sr.chunks, Step: sr.step.ID}
 	size := 0
 	for _, ir := range sr.items {
-		if ir.listed || ir.state != complete && ir.state != lost {
+		if ir.listed || ir.open() {
 			continue
 		}
 		re := ir.result()
@@ -89,6 +89,7 @@
 	if re.Lost {
 		return re
 	}
+	re.Score = ir.reward.score
 	for i, ev := range ir.events {
 		if i > 0 {
 			re.Text = append(re.Text, '\n')
--- a/step/place.go
+++ b/step/place.go
@@ -173,9 +173,13 @@
 }
 
 // timeToSpare returns how long an item can wait and still end when its step is
-// due.
+// due. An item that is to be scored must be whole sooner.
 func (ir *itemRow) timeToSpare(now time.Time) time.Duration {
-	return ir.step.step.Due - ir.step.age(now) - ir.expectedTime()
+	spare := ir.step.step.Due - ir.step.age(now) - ir.expectedTime()
+	if ir.item.Reward != nil {
+		spare -= ir.step.rewards.usual()
+	}
+	return spare
 }
 
 // tokenTime is what a token takes at an engine with full places.
@@ -328,7 +332,7 @@
 			continue
 		}
 		for _, ir := range sr.items {
-			if ir.state == waiting || ir.state == running {
+			if ir.open() {
 				ta.release(ir)
 				ta.giveUp(ir, "waited too long", now)
 			}
--- /dev/null
+++ b/step/reward_test.go
@@ -0,0 +1,342 @@
+package step
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"wisteriacroft/finding"
+	"wisteriacroft/forward"
+	"wisteriacroft/runner"
+)
+
+var errSilent = errors.New("no whole answer")
+
+// scored gives each item of a step a reward call of its own.
+func scored(st *Step) *Step {
+	for i := range st.Items {
+		st.Items[i].Reward = &forward.Call{Host: "desk", ID: "call-" + st.Items[i].ID, Path: "/score"}
+	}
+	return st
+}
+
+// at locates all calls at one service.
+func at(places int) func(*forward.Call) plainService {
+	return func(*forward.Call) plainService { return plainService{name: "desk", places: places} }
+}
+
+// wholeTexts returns a table with a step of one group whose texts are whole.
+func wholeTexts(t *testing.T, st *Step) *Table {
+	t.Helper()
+	ta := tableOf(t, 1, "a")
+	ta.Accept(st, Kept{}, false, begin)
+	for i := range st.Items {
+		ta.Place(begin)
+		end(ta, t, st.ID, i, runner.Complete, events(1, 3, 1), begin)
+	}
+	return ta
+}
+
+func signed(ir *itemRow) forward.Reply {
+	return forward.Reply{MaxAttempts: 2, Signature: "mark of " + ir.item.Reward.ID, Status: 200}
+}
+
+func listed(ta *Table, now time.Time) []Result {
+	var res []Result
+	for _, ch := range ta.Due(now) {
+		res = append(res, ch.Results...)
+	}
+	return res
+}
+
+func TestNoResultWithoutItsScore(t *testing.T) {
+	// Symptom: a trainer learns from a sample that has no score.
+	// Sequence: the text of a sample is whole, and its reward call is under way.
+	// Cause: a whole text was all that a result needed.
+	ta := wholeTexts(t, scored(stepOf("s", 2)))
+	irs := ta.StartRewards(at(6), begin)
+	assert.Equal(t, len(irs), 2)
+	assert.Equal(t, len(ta.StartRewards(at(6), begin)), 0, "they are under way")
+	assert.Equal(t, len(listed(ta, begin.Add(time.Minute))), 0)
+	ta.Rewarded(irs[0], signed(irs[0]), time.Millisecond, begin)
+	res := listed(ta, begin.Add(time.Minute))
+	assert.Equal(t, len(res), 1)
+	assert.Equal(t, res[0].Score, "mark of "+irs[0].item.Reward.ID)
+	assert.Equal(t, res[0].Item, irs[0].item.ID)
+}
+
+func TestLostOnlyForFailures(t *testing.T) {
+	// Symptom: a sample is lost though no endpoint ever failed its call.
+	// Sequence: its call is refused, cut or not answered many times; or fails, at
+	// one endpoint or at several, among other answers.
+	// Cause: every call without a score counted.
+	refused := forward.Reply{MaxAttempts: 3, NotRun: true}
+	silent := forward.Reply{Err: errSilent, MaxAttempts: 3}
+	failed := forward.Reply{Failures: 1, MaxAttempts: 3, Status: 500}
+	both := forward.Reply{Failures: 2, MaxAttempts: 3, Status: 500}
+	for _, tc := range []struct {
+		name    string
+		replies []forward.Reply
+		state   itemState
+	}{
+		{"never taken", []forward.Reply{refused, silent, refused, silent, refused, silent}, scoring},
+		{"failed as often as its step allows, not its route", []forward.Reply{failed, failed}, scoring},
+		{"failed as often as both allow", []forward.Reply{failed, silent, failed, refused, failed}, lost},
+		{"failed at two endpoints, and once more", []forward.Reply{both, failed}, lost},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ta := wholeTexts(t, scored(stepOf("s", 1)))
+			now := begin
+			var ir *itemRow
+			for _, re := range tc.replies {
+				now = now.Add(maxRewardPause)
+				irs := ta.StartRewards(at(6), now)
+				assert.Equal(t, len(irs), 1)
+				ir = irs[0]
+				ta.Rewarded(ir, re, time.Millisecond, now)
+			}
+			assert.Equal(t, ir.state, tc.state)
+		})
+	}
+}
+
+func TestCallsPause(t *testing.T) {
+	// Symptom: endpoints that refuse for want of places get ten times the calls.
+	// Sequence: a call is refused again and again.
+	// Cause: it was made again at once.
+	ta := wholeTexts(t, scored(stepOf("s", 1)))
+	calls := 0
+	for now := begin; now.Before(begin.Add(5 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		for _, ir := range ta.StartRewards(at(6), now) {
+			calls++
+			ta.Rewarded(ir, forward.Reply{NotRun: true}, time.Millisecond, now)
+		}
+	}
+	assert.Equal(t, calls, 8, "after 0.1, 0.2, 0.4 and 0.8 s, and then each second")
+}
+
+func TestCallsLeavePlacesToCallers(t *testing.T) {
+	// Load pattern: all texts of two steps become whole at once; six places are
+	// shared with live callers. Without a bound, 12 calls would wait in front of
+	// whoever calls then. The step with the least time left goes first, and in it
+	// the group that lacks the fewest items.
+	ta := tableOf(t, 1, "a", "b", "c", "d", "e", "f")
+	older, newer := scored(stepOf("older", 3, 2)), scored(stepOf("newer", 1))
+	older.Due -= time.Second
+	for _, st := range []*Step{newer, older} {
+		ta.Accept(st, Kept{}, false, begin)
+	}
+	ta.Place(begin)
+	for _, sr := range ta.order {
+		for i := range sr.items {
+			end(ta, t, sr.step.ID, i, runner.Complete, events(1, 3, 1), begin)
+		}
+	}
+	order := []string{}
+	for len(order) < 6 {
+		irs := ta.StartRewards(at(6), begin)
+		assert.Assert(t, len(irs) > 0 && len(irs) <= 3, "%d calls", len(irs))
+		for _, ir := range irs {
+			order = append(order, ir.step.step.ID+" "+ir.item.Group)
+			ta.Rewarded(ir, signed(ir), time.Millisecond, begin)
+		}
+	}
+	assert.DeepEqual(t, order, []string{"older g1", "older g1", "older g0", "older g0", "older g0", "newer g0"})
+	assert.Equal(t, len(ta.StartRewards(at(1), begin)), 0)
+}
+
+func TestOneCallGoesWhereNoPlaceIsKnown(t *testing.T) {
+	ta := wholeTexts(t, scored(stepOf("s", 2)))
+	assert.Equal(t, len(ta.StartRewards(at(0), begin)), 1)
+}
+
+func TestCallWithoutRouteWaits(t *testing.T) {
+	// Symptom: a sample is lost because its route was taken out of the
+	// configuration for a moment; or the log fills up.
+	// Sequence: no route leads the call anywhere; later one does.
+	lines := 0
+	ta := wholeTexts(t, scored(stepOf("s", 1)))
+	ta.log = func(event string, _ map[string]any) {
+		if event == "reward call has no route" {
+			lines++
+		}
+	}
+	nowhere := func(*forward.Call) plainService { return plainService{} }
+	for range 100 {
+		assert.Equal(t, len(ta.StartRewards(nowhere, begin)), 0)
+	}
+	assert.Equal(t, lines, 1)
+	assert.Equal(t, len(ta.StartRewards(at(6), begin)), 1)
+}
+
+func TestEndEndsCalls(t *testing.T) {
+	// Symptom: a reward call reaches an endpoint seconds after its step's end.
+	// Sequence: a step ends while calls are due and under way.
+	ta := wholeTexts(t, scored(stepOf("s", 2)))
+	irs := ta.StartRewards(at(2), begin)
+	assert.Equal(t, len(irs), 1)
+	ta.End("s")
+	assert.Equal(t, len(ta.StartRewards(at(2), begin.Add(time.Minute))), 0)
+	ta.Rewarded(irs[0], signed(irs[0]), time.Millisecond, begin) // an answer that was under way
+	assert.Equal(t, irs[0].state, scoring)
+}
+
+func TestScoreOfAnEarlierStep(t *testing.T) {
+	// Symptom: a sample bears the score of another call.
+	// Sequence: a group that was not whole comes again in a later step; its text
+	// may be used, and its reward call is the same or another one.
+	// Cause: the score was taken over with the text.
+	for _, tc := range []struct {
+		name   string
+		min    uint64
+		change func(ca *forward.Call)
+		state  itemState
+	}{
+		{"the same call", 1, func(*forward.Call) {}, complete},
+		{"another id", 1, func(ca *forward.Call) { ca.ID = "other" }, scoring},
+		{"another body", 1, func(ca *forward.Call) { ca.Body = []byte("other") }, scoring},
+		{"another path", 1, func(ca *forward.Call) { ca.Path = "/other" }, scoring},
+		{"another host", 1, func(ca *forward.Call) { ca.Host = "other" }, scoring},
+		{"text is made again", 2, func(*forward.Call) {}, waiting},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ta := tableOf(t, 1, "a")
+			ta.Accept(scored(stepOf("s", 2)), Kept{}, false, begin)
+			ta.Place(begin)
+			end(ta, t, "s", 0, runner.Complete, events(1, 3, 1), begin)
+			irs := ta.StartRewards(at(6), begin)
+			ta.Rewarded(irs[0], signed(irs[0]), time.Millisecond, begin)
+			ta.End("s")
+			again := scored(stepOf("s", 2))
+			again.ID, again.MinVersion = "again", tc.min
+			tc.change(again.Items[0].Reward)
+			ta.Accept(again, Kept{}, false, begin)
+			ir := ta.steps["again"].items[0]
+			assert.Equal(t, ir.state, tc.state)
+			assert.Equal(t, ir.reward.score != "", tc.state == complete)
+		})
+	}
+}
+
+func TestSuccessorScoresAnew(t *testing.T) {
+	// Symptom: after the death of a scheduler a sample is never listed, is made
+	// again though its text was whole, or bears a score of a text that is gone.
+	// Sequence: the scheduler dies with the text whole, its call under way, or its
+	// score there and not listed; its successor dies too.
+	// Cause: a score lay in the scheduler's memory alone, and the text's end with
+	// it.
+	for _, calls := range []string{"none", "under way", "answered"} {
+		t.Run(calls, func(t *testing.T) {
+			ta := wholeTexts(t, scored(stepOf("s", 1)))
+			if calls != "none" {
+				for _, ir := range ta.StartRewards(at(6), begin) {
+					if calls == "answered" {
+						ta.Rewarded(ir, signed(ir), time.Millisecond, begin)
+					}
+				}
+			}
+			key := ta.steps["s"].items[0].run.key
+			for epoch := range uint64(2) {
+				next := NewTable(epoch+2, nil)
+				addEngines(next, begin, "a")
+				next.Accept(scored(stepOf("s", 1)), Kept{}, false, begin)
+				hear(next, "a", runner.ExchangeResponse{Runs: []runner.Progress{
+					{Events: events(1, 3, 1), Key: key, State: runner.Complete},
+				}}, begin)
+				ir := next.steps["s"].items[0]
+				assert.Equal(t, ir.state, scoring)
+				rq, _ := next.Request("a")
+				assert.Equal(t, len(rq.Forget), 0, "the attendant holds the text until it is listed")
+				irs := next.StartRewards(at(6), begin)
+				assert.Equal(t, len(irs), 1)
+				next.Rewarded(ir, signed(ir), time.Millisecond, begin)
+				assert.Equal(t, listed(next, begin.Add(time.Minute))[0].Score, "mark of call-s-0-0")
+			}
+		})
+	}
+}
+
+func TestAttendantDiesBeforeTheScore(t *testing.T) {
+	// Symptom: a whole text is made again.
+	// Sequence: the attendant that holds it is gone before its score is there.
+	ta := wholeTexts(t, scored(stepOf("s", 1)))
+	ta.SetEngines(nil, begin)
+	irs := ta.StartRewards(at(6), begin)
+	assert.Equal(t, len(irs), 1)
+	ta.Rewarded(irs[0], signed(irs[0]), time.Millisecond, begin)
+	res := listed(ta, begin.Add(time.Minute))
+	assert.Equal(t, string(res[0].Text), "e1\ne2\ne3")
+}
+
+func TestWholeTextsAreKept(t *testing.T) {
+	// Symptom: after a loss of power, items that only lacked their scores are made
+	// from the start.
+	// Sequence: all plain endpoints are away for seconds; all instances lose power.
+	// Cause: only runs that were under way were kept.
+	ta := tableOf(t, 1, "a")
+	ta.Accept(scored(stepOf("s", 1)), Kept{}, false, begin)
+	ta.Place(begin)
+	end(ta, t, "s", 0, runner.Complete, events(1, checkpointEvents, 1), begin)
+	cps := ta.Checkpoints(begin.Add(checkpointEvery))
+	assert.Equal(t, len(cps), 1)
+	assert.Equal(t, len(cps[0].Partials[0].Events), checkpointEvents)
+}
+
+func TestGivenUpInTime(t *testing.T) {
+	ta := wholeTexts(t, scored(stepOf("s", 1)))
+	ta.steps["s"].step.MaxWait = 10 * time.Second
+	ta.GiveUp(begin.Add(10 * time.Second))
+	assert.Equal(t, ta.steps["s"].items[0].state, scoring)
+	ta.GiveUp(begin.Add(10*time.Second + giveUpSlack))
+	assert.Equal(t, ta.steps["s"].items[0].state, lost)
+}
+
+func TestScoresTakeTime(t *testing.T) {
+	// Symptom: the last item of a step is late by the time of its reward call.
+	// Sequence: two items wait for a place, of which one is to be scored; scores
+	// have taken 2 s of late.
+	// Cause: both seemed to have the same time to spare.
+	ta := tableOf(t, 1, "a")
+	st := stepOf("s", 2)
+	st.Items[1].Reward = &forward.Call{Host: "desk", ID: "call", Path: "/"}
+	ta.Accept(st, Kept{}, false, begin)
+	spare := func(item int) time.Duration { return ta.steps["s"].items[item].timeToSpare(begin) }
+	assert.Equal(t, spare(0)-spare(1), usualReward)
+	for range 200 {
+		ta.rewards.observe(2 * time.Second)
+	}
+	assert.Equal(t, spare(0)-spare(1), 2*time.Second)
+}
+
+func TestCheckRewardCalls(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		change func(st *Step)
+		want   string
+	}{
+		{"sound", func(*Step) {}, ""},
+		{"not scored", func(st *Step) { st.Items[0].Reward = nil }, ""},
+		{"no id", func(st *Step) { st.Items[0].Reward.ID = "" }, "item s-0-0: reward call has no id"},
+		{"no host", func(st *Step) { st.Items[1].Reward.Host = "" }, "item s-0-1: reward call has no host"},
+		{"no path", func(st *Step) { st.Items[1].Reward.Path = "" }, "item s-0-1: reward call has no path"},
+		{
+			"one id twice", func(st *Step) { st.Items[1].Reward.ID = st.Items[0].Reward.ID },
+			"item s-0-1: reward call has the id of that of item s-0-0",
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			st := scored(stepOf("s", 2))
+			tc.change(st)
+			var findings finding.List
+			st.Check(&findings)
+			got := ""
+			if err := findings.Err(); err != nil {
+				got = fmt.Sprint(err)
+			}
+			assert.Equal(t, got, tc.want)
+		})
+	}
+}
--- a/step/scheduler.go
+++ b/step/scheduler.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"wisteriacroft/directory"
+	"wisteriacroft/forward"
 	"wisteriacroft/lease"
 	"wisteriacroft/message"
 	"wisteriacroft/peer"
@@ -63,6 +64,8 @@
 // A Scheduler runs all steps while it holds the lease. Fill the exported
 // fields, then call Run.
 type Scheduler struct {
+	// CallFunc makes a reward call.
+	CallFunc  func(ctx context.Context, ca forward.Call) forward.Reply
 	Directory *directory.Directory
 	Holder    *lease.Holder
 	Keep      time.Duration // results stay readable for it
@@ -80,6 +83,8 @@
 
 // A term is the time for which a scheduler holds the lease under one epoch.
 type term struct {
+	begin    func() (context.Context, context.CancelFunc) // of a call that ends with the term
+	calls    map[*itemRow]context.CancelFunc              // reward calls that are under way
 	cancel   context.CancelFunc
 	epoch    uint64
 	exchange map[string]chan struct{} // kicks of the exchanges that run, by engine
@@ -165,7 +170,10 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	te := &term{cancel: cancel, epoch: epoch, exchange: map[string]chan struct{}{}}
+	te := &term{
+		begin: func() (context.Context, context.CancelFunc) { return context.WithCancel(ctx) },
+		calls: map[*itemRow]context.CancelFunc{}, cancel: cancel, epoch: epoch, exchange: map[string]chan struct{}{},
+	}
 	te.table = NewTable(epoch, func(event string, fields map[string]any) {
 		sc.Log.WithFields(fields).WithField("epoch", epoch).Info(event)
 	})
@@ -194,6 +202,7 @@
 		ta.Place(now)
 		ta.Weights(now)
 	}
+	sc.startRewards(te, now)
 	for id, kick := range te.exchange {
 		if ta.wantsExchange(id) {
 			notify(kick)
--- a/step/step.go
+++ b/step/step.go
@@ -7,7 +7,11 @@
 package step
 
 import (
+	"strings"
 	"time"
+
+	"wisteriacroft/finding"
+	"wisteriacroft/forward"
 )
 
 // An Item is one sample that a step asks for.
@@ -19,7 +23,10 @@
 	ID     string
 	Path   string
 	Prompt int // tokens of the prompt; 0 means unknown
-	Tokens int // of the prompt, and of the answer at most
+	// Reward is the call to a plain service that scores the whole text; nil if
+	// the text needs no score.
+	Reward *forward.Call `cbor:",omitempty"`
+	Tokens int           // of the prompt, and of the answer at most
 }
 
 // A Step is a trainer's request for samples.
@@ -43,7 +50,8 @@
 // A Result is an item's outcome, at a position of its step.
 type Result struct {
 	Item     string
-	Lost     bool // given up; Text and Versions are empty
+	Lost     bool   // given up; Score, Text and Versions are empty
+	Score    string `cbor:",omitempty"` // the mark of the plain service on its answer to the reward call
 	Text     []byte
 	Versions []uint64 // that generated the text
 }
@@ -63,3 +71,30 @@
 	}
 	return BodyResponse{}
 }
+
+// Check adds what is wrong with the step's reward calls, by item. One that no
+// route could lead anywhere, or whose answer could be taken for another's, would
+// keep its item from ever being listed.
+func (st *Step) Check(findings *finding.List) {
+	items := map[string]string{} // by the id of the reward call
+	for i := range st.Items {
+		it := &st.Items[i]
+		if it.Reward == nil {
+			continue
+		}
+		place := "item " + it.ID
+		switch other, twice := items[it.Reward.ID]; {
+		case it.Reward.ID == "":
+			findings.Add("", 0, place, "reward call has no id")
+		case twice:
+			findings.Add("", 0, place, "reward call has the id of that of item %s", other)
+		}
+		items[it.Reward.ID] = it.ID
+		if it.Reward.Host == "" {
+			findings.Add("", 0, place, "reward call has no host")
+		}
+		if !strings.HasPrefix(it.Reward.Path, "/") {
+			findings.Add("", 0, place, "reward call has no path")
+		}
+	}
+}
--- a/step/table.go
+++ b/step/table.go
@@ -15,6 +15,7 @@
 const (
 	waiting itemState = iota // for a place at an engine
 	running                  // at the engine of its run
+	scoring                  // the text is whole and waits for its score
 	complete
 	lost // given up
 )
@@ -27,6 +28,7 @@
 	doneAt   time.Time
 	events   []runner.Event
 	failures int // answers of engines that failed
+	reward   rewardRow
 	saved    int // events that are kept in a checkpoint
 	known    int // events that an earlier run made, at least
 	listed   bool
@@ -62,6 +64,7 @@
 	step        *Step
 	ended       bool
 	gauge       *tokenGauge // of the step's model
+	rewards     *rewardGauge
 	groups      map[string]*groupRow
 	items       []*itemRow
 	chunks      int       // that are listed
@@ -117,6 +120,7 @@
 	// reuse keeps the text of items of ended steps, since their groups may
 	// come again in a later step.
 	reuse   map[string]*itemRow
+	rewards *rewardGauge
 	steps   map[string]*stepRow
 	order   []*stepRow        // open steps by acceptance
 	named   map[string]uint64 // newest version of each model
@@ -142,7 +146,8 @@
 	ta := &Table{
 		attempt: epoch << attemptBits, demand: map[string]float64{}, engines: map[string]*engineRow{}, epoch: epoch, gauges: map[string]*tokenGauge{}, log: log,
 		bases: map[string]time.Duration{}, bests: map[string]time.Duration{}, paces: map[string]time.Duration{}, named: map[string]uint64{}, lengths: map[string]int{}, reuse: map[string]*itemRow{},
-		steps: map[string]*stepRow{},
+		rewards: &rewardGauge{},
+		steps:   map[string]*stepRow{},
 	}
 	ta.rank = ta.score
 	return ta
@@ -171,7 +176,7 @@
 		gauge = &tokenGauge{}
 		ta.gauges[st.Model] = gauge
 	}
-	sr := &stepRow{seenAt: now, step: st, ended: ended, gauge: gauge, groups: map[string]*groupRow{}, changed: make(chan struct{}), idle: ended}
+	sr := &stepRow{seenAt: now, step: st, ended: ended, gauge: gauge, groups: map[string]*groupRow{}, changed: make(chan struct{}), idle: ended, rewards: ta.rewards}
 	ta.steps[st.ID] = sr
 	positions := map[string]bool{}
 	for _, chunk := range ke.Listed {
@@ -221,9 +226,13 @@
 		return
 	}
 	ir.events = old.events
-	if old.state == complete {
-		ta.settle(ir, complete, now)
+	if old.state != complete && old.state != scoring {
+		return
+	}
+	if old.reward.score != "" && ir.item.Reward != nil && ir.item.Reward.Equal(old.item.Reward) {
+		ir.reward.score = old.reward.score
 	}
+	ta.whole(ir, now)
 }
 
 // fits reports whether a step may have a text.
@@ -258,6 +267,11 @@
 	for _, ir := range sr.items {
 		ta.release(ir)
 		ta.unreserve(ir)
+		if ir.state == scoring {
+			ta.log("reward call dropped", map[string]any{
+				callField: ir.item.Reward.ID, itemField: ir.item.ID, "sent": ir.reward.calls, stepField: id, "why": "step ended",
+			})
+		}
 		if len(ir.events) > 0 && ir.state != lost && sr.groups[ir.item.Group].left > 0 {
 			ta.reuse[ir.item.ID] = ir
 			ta.lengths[ir.item.ID] = max(ta.lengths[ir.item.ID], len(ir.events))
