soak, lateness, standin: reward calls and what waits for them

Plain endpoints fail, slow down, hang and answer twice, drawn apart from the other faults so that old seeds keep theirs. The report tells what waited for its score; its goldens have one more column.

--- a/lateness/line.go
+++ b/lateness/line.go
@@ -18,18 +18,19 @@
 
 // A line is what a log line of a scheduler or an attendant says of a step.
 type line struct {
-	DueMS  int64     `json:"due-ms"` // after acceptance
-	Events int       `json:"events"`
-	After  int       `json:"after"` // events that earlier runs made
-	Item   string    `json:"item"`
-	Items  int       `json:"items"`
-	Model  string    `json:"model"`
-	Msg    string    `json:"msg"`
-	Number int       `json:"number"`
-	State  string    `json:"state"`
-	Step   string    `json:"step"`
-	Time   time.Time `json:"time"`
-	Why    string    `json:"why"`
+	DueMS   int64     `json:"due-ms"` // after acceptance
+	Events  int       `json:"events"`
+	After   int       `json:"after"` // events that earlier runs made
+	Item    string    `json:"item"`
+	Items   int       `json:"items"`
+	Model   string    `json:"model"`
+	Msg     string    `json:"msg"`
+	Number  int       `json:"number"`
+	Outcome string    `json:"outcome"`
+	State   string    `json:"state"`
+	Step    string    `json:"step"`
+	Time    time.Time `json:"time"`
+	Why     string    `json:"why"`
 }
 
 // readLines calls take for each log line that concerns a step. What stands
--- a/lateness/report.go
+++ b/lateness/report.go
@@ -19,13 +19,14 @@
 	Waiting Cause = "waiting for a place"     // no engine had one, or none had the weights
 	Again   Cause = "events made again"       // runs whose text was lost
 	Slow    Cause = "slow engine"             // beyond the day's usual pace
-	Listing Cause = "waiting for the listing" // whole, and not shown yet
+	Scoring Cause = "waiting for its score"   // whole, and its reward call not answered
+	Listing Cause = "waiting for the listing" // whole and scored, and not shown yet
 	Trainer Cause = "waiting for the trainer" // shown, and the step not ended
 	Length  Cause = "its own length"          // its events at the day's usual pace
 )
 
 // causes are all causes, in the order in which an item meets them.
-var causes = []Cause{Waiting, Again, Slow, Length, Listing, Trainer}
+var causes = []Cause{Waiting, Again, Slow, Length, Scoring, Listing, Trainer}
 
 // A lateness is a step with what its last item's time went into.
 type lateness struct {
@@ -88,14 +89,16 @@
 			la.explainRun(i, pace)
 		}
 	}
-	shown := it.done
+	scored := it.finished()
+	la.parts[Scoring] = scored.Sub(it.done)
+	shown := scored
 	for _, at := range st.listed {
-		if !at.Before(it.done) {
+		if !at.Before(scored) {
 			shown = at
 			break
 		}
 	}
-	la.parts[Listing] = shown.Sub(it.done)
+	la.parts[Listing] = shown.Sub(scored)
 	if !st.ended.IsZero() && st.ended.After(shown) {
 		la.parts[Trainer] = st.ended.Sub(shown)
 	}
@@ -138,7 +141,7 @@
 	bw := bufio.NewWriter(wr) // keeps the first error for Flush
 	_, _ = fmt.Fprintf(bw, "usual pace of an event: %d ms\n\n", pace.Milliseconds())
 	_, _ = fmt.Fprintf(bw, "%-16s %-16s %4s %8s %-16s", "step", "model", "no", "took-s", "last item")
-	_, _ = fmt.Fprintf(bw, " %7s %7s %7s %7s %7s %7s  %s\n", "wait", "again", "slow", "length", "list", "trainer", "cause")
+	_, _ = fmt.Fprintf(bw, " %7s %7s %7s %7s %7s %7s %7s  %s\n", "wait", "again", "slow", "length", "score", "list", "trainer", "cause")
 	late := map[Cause]int{}
 	for _, st := range steps {
 		la, ok := explain(st, pace)
--- a/lateness/step.go
+++ b/lateness/step.go
@@ -13,6 +13,7 @@
 	msgGivenUp  = "run given up"
 	msgListed   = "results listed"
 	msgPlaced   = "item placed"
+	msgReward   = "reward call answered"
 	msgRunEnded = "run ended"
 	msgTaken    = "run taken over"
 )
@@ -20,6 +21,9 @@
 // stateComplete is a run's state when its text is whole.
 const stateComplete = "complete"
 
+// outcomeAnswered is the outcome of a reward call that brought a score.
+const outcomeAnswered = "answered"
+
 // A spell is a time that an item spends waiting, or running at an engine.
 type spell struct {
 	begun, ended time.Time
@@ -34,6 +38,7 @@
 type item struct {
 	id     string
 	done   time.Time // whole; zero if it never was
+	scored time.Time // zero if it never was
 	spells []spell
 }
 
@@ -108,17 +113,30 @@
 		st.item(li.Item).turn(li.Time, li.Events, false)
 	case msgRunEnded:
 		st.item(li.Item).end(li)
+	case msgReward:
+		if li.Outcome == outcomeAnswered {
+			st.item(li.Item).scored = li.Time
+		}
+	}
+}
+
+// finished returns when an item was whole and, if it was, scored.
+func (it *item) finished() time.Time {
+	if it.scored.After(it.done) {
+		return it.scored
 	}
+	return it.done
 }
 
-// last returns the item that was whole last before the step ended, or nil.
+// last returns the item that was finished last before the step ended, or nil.
 func (st *step) last() *item {
 	var best *item
 	for _, it := range st.items {
-		if it.done.IsZero() || !st.ended.IsZero() && it.done.After(st.ended) {
+		at := it.finished()
+		if it.done.IsZero() || !st.ended.IsZero() && at.After(st.ended) {
 			continue
 		}
-		if best == nil || it.done.After(best.done) || it.done.Equal(best.done) && it.id < best.id {
+		if best == nil || at.After(best.finished()) || at.Equal(best.finished()) && it.id < best.id {
 			best = it
 		}
 	}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"syscall"
 	"time"
 
 	"wisteriacroft/keyvalue"
+	"wisteriacroft/platform/standin"
 )
 
 // A fault does something and undoes it after a time.
@@ -41,6 +43,20 @@
 	}
 }
 
+// troubleDesks makes one plain endpoint after the other misbehave for a time. It
+// draws by itself, so that the other faults of a seed stay as they are.
+func (rn *run) troubleDesks(ctx context.Context, length time.Duration) {
+	rng := rand.New(rand.NewPCG(rn.opts.Seed, 11))
+	for end := time.Now().Add(length); !rn.opts.Quiet && time.Now().Before(end) && ctx.Err() == nil; {
+		de, tr := rn.world.desks[rng.IntN(desks)], standin.Trouble(1+rng.IntN(int(standin.Troubles)-1))
+		rn.note(fmt.Sprint(tr, " ", de.ID))
+		de.SetTrouble(tr)
+		sleep(ctx, time.Duration(200+rng.IntN(2000))*time.Millisecond)
+		de.SetTrouble(standin.NoTrouble)
+		sleep(ctx, time.Duration(rng.IntN(1000))*time.Millisecond)
+	}
+}
+
 func (rn *run) note(name string) {
 	rn.mu.Lock()
 	defer rn.mu.Unlock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -76,7 +76,13 @@
 		defer close(trained)
 		rn.train(ctx)
 	}()
+	troubled := make(chan struct{})
+	go func() {
+		defer close(troubled)
+		rn.troubleDesks(ctx, opts.Length)
+	}()
 	rn.injectAll(ctx, opts.Length)
+	<-troubled
 	sleep(ctx, settleTime)
 	rn.awaitStep(ctx)
 	cancel()
--- a/soak/trainer.go
+++ b/soak/trainer.go
@@ -56,7 +56,7 @@
 			item := fmt.Sprintf("%s-%d-%d", id, group, i)
 			st.Items = append(st.Items, step.Item{
 				Body: []byte(item), Group: fmt.Sprint("g", group), ID: item,
-				Path: "/steps/" + item, Prompt: 10, Tokens: 2010,
+				Path: "/steps/" + item, Prompt: 10, Reward: rewardCall(item), Tokens: 2010,
 			})
 		}
 	}
@@ -104,10 +104,15 @@
 // check checks that a result is the item's whole text, by the versions that it
 // names.
 func (rn *run) check(id string, re step.Result, minVersion uint64) {
-	if re.Lost || !strings.HasPrefix(re.Item, id+"-") {
-		rn.violate("step %s lists %s, lost: %t", id, re.Item, re.Lost)
+	if !strings.HasPrefix(re.Item, id+"-") {
+		rn.violate("step %s lists %s", id, re.Item)
 		return
 	}
+	if re.Lost {
+		rn.checkLost(re.Item)
+		return
+	}
+	rn.checkScore(re)
 	lines := strings.Split(string(re.Text), "\n")
 	if len(lines) != lengthOf(re.Item) {
 		rn.violate("%s has %d events, not %d", re.Item, len(lines), lengthOf(re.Item))
@@ -172,5 +177,10 @@
 				}
 			}
 		}
+		for _, no := range rn.deskNotes() {
+			if strings.HasPrefix(no.ID, rewardPrefix+id+"-") && no.At.After(ended.Add(endSlack)) {
+				rn.violate("%s was made %s after the end of its step", no.ID, no.At.Sub(ended))
+			}
+		}
 	})
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -154,7 +154,7 @@
 func (wo *world) configure(ctx context.Context) error {
 	route := func(name string, kind directory.Kind, service string) directory.Route {
 		return directory.Route{
-			Due: 8 * time.Second, Goal: 500 * time.Millisecond, Host: host, Kind: kind, MaxAttempts: 3, MaxWait: 2 * time.Minute,
+			Due: 8 * time.Second, Goal: 500 * time.Millisecond, Host: host, Kind: kind, MaxAttempts: maxAttempts, MaxWait: 2 * time.Minute,
 			Name: name, Prefix: "/" + name + "/", Resumable: true, Shares: []directory.Share{{Service: service}},
 			Timeout: callDeadline,
 		}
