runner, peer: requests that were overtaken are refused

Cause, by the log: an attendant was cut off from 19.2 to 26.7 s. A request of 20.1 s, with launches and an order for version 4, lay in the sender's buffers and was delivered at 32.07 s, after newer ones.

Change: the scheduler's requests carry a number that grows within its epoch, and attendants refuse what was overtaken, with a log line; a connection between processes that fails is reset, so that what was not delivered is dropped. Test: TestOvertakenRequest (fails without the number: the launch is taken).

--- a/peer/connection.go
+++ b/peer/connection.go
@@ -200,7 +200,7 @@
 	close(cn.dead)
 	if cn.wire != nil {
 		// Not the client's Close: it waits for whoever writes now.
-		discard(cn.wire.conn)
+		abort(cn.wire.conn)
 	}
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -64,3 +65,13 @@
 
 // discard closes what is of no more use: its error would change nothing.
 func discard(cl io.Closer) { _ = cl.Close() }
+
+// abort closes a connection that failed, and drops what was written and not
+// delivered. Closed in the usual way, the kernel goes on sending it: a call that
+// its caller had given up arrived 5 s after the cut that had held it up.
+func abort(co net.Conn) {
+	if tc, ok := co.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0) // the connection has failed already
+	}
+	discard(co)
+}
--- a/runner/message.go
+++ b/runner/message.go
@@ -52,9 +52,11 @@
 
 // An ExchangeRequest is what the scheduler wants done, and what it knows.
 type ExchangeRequest struct {
+	Endpoint string // the engine that the request concerns
 	Epoch    uint64 // of the scheduler; an older one is refused
 	Forget   []Key  // runs that need not be kept any longer
 	Launches []Launch
+	Number   uint64 // of the epoch's requests for the engine; one that was overtaken is refused
 	Order    *Order
 	Seen     []Seen
 	Stops    []Key
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -36,6 +36,9 @@
 // ErrOldEpoch means that the call came from a scheduler that was replaced.
 var ErrOldEpoch = errors.New("a later scheduler has called")
 
+// errOvertaken means that a later call of the same scheduler came first.
+var errOvertaken = errors.New("a later call has come")
+
 // A run is one run of an item.
 type run struct {
 	cancel   context.CancelFunc
@@ -62,6 +65,7 @@
 	epoch    uint64
 	lastCall time.Time
 	mu       sync.Mutex
+	numbers  map[string]uint64 // of the newest request of the epoch, by engine
 	orders   orders
 	pacer    pacer
 	report   Report
@@ -112,6 +116,7 @@
 		rn.boot = uuid.NewString()
 		rn.kick = make(chan struct{}, 1)
 		rn.begin = func() (context.Context, context.CancelFunc) { return context.WithCancel(context.Background()) }
+		rn.numbers = map[string]uint64{}
 		rn.runs = map[Key]*run{}
 	}
 }
@@ -156,6 +161,11 @@
 }
 
 // take applies a request.
+//
+// While an instance is cut off, what was sent to it lies in the sender's buffers,
+// and may be delivered seconds after the cut: an item began 5 s after its step's
+// end, and an order for old weights was taken. By then the scheduler has called
+// anew, so that the number tells.
 func (rn *Runner) take(rq ExchangeRequest) error {
 	rn.mu.Lock()
 	defer rn.mu.Unlock()
@@ -167,6 +177,13 @@
 	if rq.Epoch > rn.epoch {
 		rn.welcome(rq.Epoch)
 	}
+	if rq.Number <= rn.numbers[rq.Endpoint] {
+		rn.Log.WithFields(logrus.Fields{
+			"endpoint": rq.Endpoint, "epoch": rq.Epoch, "launches": len(rq.Launches), "newest": rn.numbers[rq.Endpoint], "number": rq.Number,
+		}).Warn("overtaken request refused")
+		return errors.Wrapf(errOvertaken, "number %d, not %d", rq.Number, rn.numbers[rq.Endpoint])
+	}
+	rn.numbers[rq.Endpoint] = rq.Number
 	for _, se := range rq.Seen {
 		if ru, ok := rn.runs[se.Key]; ok {
 			ru.seen = min(max(ru.seen, se.Events), len(ru.events))
@@ -192,6 +209,7 @@
 func (rn *Runner) welcome(epoch uint64) {
 	rn.Log.WithFields(logrus.Fields{"epoch": epoch, "runs": len(rn.runs)}).Info("new scheduler")
 	rn.epoch = epoch
+	rn.numbers = map[string]uint64{}
 	rn.orders.want(Order{})
 	for _, ru := range rn.runs {
 		ru.seen = 0
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -101,8 +101,10 @@
 	return &Runner{Engine: fe.engine(), Log: logrus.NewEntry(logger), Metrics: metrics.NewSet()}
 }
 
+// exchange makes the next request of an epoch.
 func exchange(t *testing.T, rn *Runner, rq ExchangeRequest) ExchangeResponse {
 	t.Helper()
+	rq.Number = rn.numbers[rq.Endpoint] + 1
 	re, err := rn.Exchange(t.Context(), rq)
 	assert.NilError(t, err)
 	return re
@@ -260,3 +262,33 @@
 		synctest.Wait()
 	})
 }
+
+func TestOvertakenRequest(t *testing.T) {
+	// Symptom: an item begins 5 s after its step's end, and an old version is
+	// ordered.
+	// Sequence: an attendant is cut off; a request with a launch and an order is on
+	// its way to it; the cut heals, later requests arrive, and then that one.
+	// Cause: requests of one epoch were all alike.
+	synctest.Test(t, func(t *testing.T) {
+		fe := &fakeEngine{length: 5}
+		rn := newRunner(fe)
+		late := ExchangeRequest{
+			Endpoint: "engine", Epoch: 1, Launches: []Launch{{Endpoint: "engine", Key: Key{Item: "i", Step: "s"}}}, Number: 7,
+			Order: &Order{Endpoint: "engine", Model: "m", Version: 2},
+		}
+		_, err := rn.Exchange(t.Context(), ExchangeRequest{Endpoint: "engine", Epoch: 1, Number: 8})
+		assert.NilError(t, err)
+		_, err = rn.Exchange(t.Context(), late)
+		assert.Assert(t, errors.Is(err, errOvertaken))
+		late.Epoch = 2 // a later scheduler counts anew
+		late.Endpoint = "other"
+		synctest.Wait()
+		assert.Equal(t, len(fe.starts), 0)
+		assert.Equal(t, len(fe.ordered()), 0)
+		_, err = rn.Exchange(t.Context(), late)
+		assert.NilError(t, err)
+		synctest.Wait()
+		assert.Equal(t, len(fe.starts), 1)
+		time.Sleep(time.Second)
+	})
+}
--- a/step/engines.go
+++ b/step/engines.go
@@ -93,7 +93,8 @@
 	if !ok {
 		return runner.ExchangeRequest{}, false
 	}
-	rq := runner.ExchangeRequest{Epoch: ta.epoch, Order: en.order}
+	ta.requests++
+	rq := runner.ExchangeRequest{Endpoint: id, Epoch: ta.epoch, Number: ta.requests, Order: en.order}
 	for key, ir := range en.items {
 		if !ir.run.confirmed {
 			rq.Launches = append(rq.Launches, ta.launch(ir))
--- a/step/table.go
+++ b/step/table.go
@@ -119,19 +119,20 @@
 	lengths map[string]int
 	// reuse keeps the text of items of ended steps, since their groups may
 	// come again in a later step.
-	reuse   map[string]*itemRow
-	rewards *rewardGauge
-	steps   map[string]*stepRow
-	order   []*stepRow        // open steps by acceptance
-	named   map[string]uint64 // newest version of each model
-	log     func(event string, fields map[string]any)
-	demand  map[string]float64       // work of a model's step, in tokens
-	garbage []string                 // keys to remove
-	gauges  map[string]*tokenGauge   // by model
-	savedAt time.Time                // of the last checkpoint
-	bases   map[string]time.Duration // base of the median engine, by service
-	bests   map[string]time.Duration // base of the fastest engine, by service
-	paces   map[string]time.Duration // of the median engine, by service
+	reuse    map[string]*itemRow
+	requests uint64 // made to attendants
+	rewards  *rewardGauge
+	steps    map[string]*stepRow
+	order    []*stepRow        // open steps by acceptance
+	named    map[string]uint64 // newest version of each model
+	log      func(event string, fields map[string]any)
+	demand   map[string]float64       // work of a model's step, in tokens
+	garbage  []string                 // keys to remove
+	gauges   map[string]*tokenGauge   // by model
+	savedAt  time.Time                // of the last checkpoint
+	bases    map[string]time.Duration // base of the median engine, by service
+	bests    map[string]time.Duration // base of the fastest engine, by service
+	paces    map[string]time.Duration // of the median engine, by service
 }
 
 // attemptBits is the part of an attempt's number that counts within an epoch.
