runner, step: exchanges speak of a run when there is news of it

Cause: each exchange, ten a second with each engine, named every run at the attendant in both directions, those that had ended and waited for their listing included.

Change: the scheduler says of a run what it has when that is more than it last said, the attendant what the scheduler lacks; both repeat until an answer shows that it came, and another epoch gets everything. How many runs go on is a field of its own, for the count of requests of others.

Test changed: TestWholeItemsOutliveTheScheduler wants the kept run to be spoken of once with its end, and not forgotten after; it wanted it in every request.

--- a/runner/message.go
+++ b/runner/message.go
@@ -44,8 +44,9 @@
 	Version  uint64
 }
 
-// A Seen is how many events of a run the scheduler has.
+// A Seen is what the scheduler has of a run.
 type Seen struct {
+	Ended  bool `cbor:",omitempty"` // it knows that the run has ended
 	Events int
 	Key    Key
 }
@@ -58,7 +59,7 @@
 	Launches []Launch
 	Number   uint64 // of the epoch's requests for the engine; one that was overtaken is refused
 	Order    *Order
-	Seen     []Seen
+	Seen     []Seen // runs of which the scheduler has more than it last said
 	Stops    []Key
 }
 
@@ -114,7 +115,8 @@
 	Reachable bool   // the engine answers its report
 	Report    Report
 	ReportAge time.Duration
-	Runs      []Progress
+	Running   int        // runs that go on
+	Runs      []Progress // of which the scheduler lacks something
 }
 
 // WitnessMethod asks an attendant when the scheduler last called it.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -47,8 +47,10 @@
 	endpoint string
 	events   []Event
 	key      Key
-	seen     int
+	noted    State // as the scheduler knows it
+	seen     int   // events that the scheduler has
 	state    State
+	told     bool // the scheduler knows of the run
 	stopped  bool
 }
 
@@ -187,6 +189,10 @@
 	for _, se := range rq.Seen {
 		if ru, ok := rn.runs[se.Key]; ok {
 			ru.seen = min(max(ru.seen, se.Events), len(ru.events))
+			ru.told = true
+			if se.Ended {
+				ru.noted = ru.state
+			}
 		}
 	}
 	for _, key := range rq.Stops {
@@ -212,10 +218,15 @@
 	rn.numbers = map[string]uint64{}
 	rn.orders.want(Order{})
 	for _, ru := range rn.runs {
-		ru.seen = 0
+		ru.seen, ru.told, ru.noted = 0, false, Running
 	}
 }
 
+// news reports whether the scheduler lacks something of a run.
+func (ru *run) news() bool {
+	return !ru.told || ru.seen < len(ru.events) || ru.noted != ru.state
+}
+
 func (rn *Runner) stop(key Key) {
 	ru, ok := rn.runs[key]
 	if !ok || ru.state != Running {
@@ -314,10 +325,18 @@
 		ReportAge: time.Since(rn.reportAt),
 	}
 	re.Report.Pace, re.Report.PaceGaps = rn.pacer.median(time.Now())
+	// Each run in each response made four fifths of the bytes between processes:
+	// runs that have ended stay until they are listed.
 	size := 0
 	for _, ru := range rn.runs {
+		if ru.state == Running {
+			re.Running++
+		}
+		if !ru.news() {
+			continue
+		}
 		if size > maxResponse {
-			break
+			continue // the next response has it
 		}
 		pr := Progress{Detail: ru.detail, Endpoint: ru.endpoint, Events: ru.events[ru.seen:], First: ru.seen, Key: ru.key, State: ru.state}
 		for _, ev := range pr.Events {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -292,3 +292,31 @@
 		time.Sleep(time.Second)
 	})
 }
+
+func TestResponsesHoldNews(t *testing.T) {
+	// Load pattern: a dozen runs at an attendant, and twice as many that have ended
+	// and wait to be listed, each in ten responses a second. Said once each is
+	// enough, until another scheduler asks.
+	synctest.Test(t, func(t *testing.T) {
+		rn := newRunner(&fakeEngine{length: 5})
+		key := Key{Item: "i", Step: "s"}
+		rq := ExchangeRequest{Epoch: 1, Launches: []Launch{{Key: key}}}
+		re := exchange(t, rn, rq)
+		assert.Equal(t, len(re.Runs), 1, "a run that is new")
+		re = exchange(t, rn, ExchangeRequest{Epoch: 1, Seen: []Seen{{Key: key}}})
+		assert.Equal(t, len(re.Runs), 0)
+		assert.Equal(t, re.Running, 1)
+		time.Sleep(90 * time.Millisecond)
+		re = exchange(t, rn, ExchangeRequest{Epoch: 1})
+		assert.Equal(t, len(re.Runs[0].Events), 2)
+		re = exchange(t, rn, ExchangeRequest{Epoch: 1})
+		assert.Equal(t, len(re.Runs[0].Events), 2, "the answer may have been lost")
+		time.Sleep(time.Second)
+		re = exchange(t, rn, ExchangeRequest{Epoch: 1, Seen: []Seen{{Events: 5, Key: key}}})
+		assert.Equal(t, re.Runs[0].State, Complete, "the end is not known yet")
+		re = exchange(t, rn, ExchangeRequest{Epoch: 1, Seen: []Seen{{Ended: true, Events: 5, Key: key}}})
+		assert.Equal(t, len(re.Runs), 0)
+		re = exchange(t, rn, ExchangeRequest{Epoch: 2})
+		assert.Equal(t, len(re.Runs[0].Events), 5, "another scheduler knows nothing")
+	})
+}
--- a/step/engines.go
+++ b/step/engines.go
@@ -100,13 +100,17 @@
 			rq.Launches = append(rq.Launches, ta.launch(ir))
 			continue
 		}
-		rq.Seen = append(rq.Seen, runner.Seen{Events: len(ir.events), Key: key})
+		if ir.run.said < len(ir.events)+1 {
+			rq.Seen = append(rq.Seen, runner.Seen{Events: len(ir.events), Key: key})
+		}
 		if ir.run.stopping {
 			rq.Stops = append(rq.Stops, key)
 		}
 	}
 	for key, ir := range en.kept {
-		rq.Seen = append(rq.Seen, runner.Seen{Events: len(ir.events), Key: key})
+		if !ir.run.saidEnd {
+			rq.Seen = append(rq.Seen, runner.Seen{Ended: true, Events: len(ir.events), Key: key})
+		}
 	}
 	for key := range en.forget {
 		rq.Forget = append(rq.Forget, key)
@@ -139,20 +143,29 @@
 	for _, key := range rq.Forget {
 		delete(en.forget, key)
 	}
-	alive := 0
+	en.said(rq.Seen)
 	for _, pr := range re.Runs {
-		if pr.State == runner.Running {
-			alive++
-		}
 		if ta.concerns(en, pr) {
 			ta.progress(en, pr, now)
 		}
 	}
 	ta.replace(en, re.Engine, now)
-	en.foreign = max(0, re.Report.Active+re.Report.Queued-alive)
+	en.foreign = max(0, re.Report.Active+re.Report.Queued-re.Running)
 	ta.heardOrder(en, rq, re)
 }
 
+// said takes in what an attendant has been told of runs.
+func (en *engineRow) said(seen []runner.Seen) {
+	for _, se := range seen {
+		if ir, ok := en.items[se.Key]; ok {
+			ir.run.said = max(ir.run.said, se.Events+1)
+		}
+		if ir, ok := en.kept[se.Key]; ok && se.Ended {
+			ir.run.saidEnd = true
+		}
+	}
+}
+
 // concerns reports whether a run belongs to an engine.
 //
 // An engine that starts again has another ID at the same address, and for a
--- a/step/takeover_test.go
+++ b/step/takeover_test.go
@@ -142,11 +142,12 @@
 	ta.Place(begin)
 	end(ta, t, "s", 0, runner.Complete, events(1, 2, 1), begin)
 	key := runner.Key{Attempt: ta.attempt, Item: "s-0-0", Step: "s"}
+	rq, _ := ta.Request("a")
+	assert.DeepEqual(t, rq.Seen, []runner.Seen{{Ended: true, Events: 2, Key: key}})
 	again := runner.ExchangeResponse{Runs: []runner.Progress{{First: 2, Key: key, State: runner.Complete}}}
 	hear(ta, "a", again, begin)
-	rq, _ := ta.Request("a")
+	rq, _ = ta.Request("a")
 	assert.Equal(t, len(rq.Forget), 0, "not listed")
-	assert.DeepEqual(t, rq.Seen, []runner.Seen{{Events: 2, Key: key}})
 	ta.Listed(ta.Due(begin.Add(time.Hour)), begin)
 	rq, _ = ta.Request("a")
 	assert.DeepEqual(t, rq.Forget, []runner.Key{key})
@@ -183,3 +184,26 @@
 		assert.Equal(t, ir.state, waiting)
 	}
 }
+
+func TestRequestsSayWhatIsNew(t *testing.T) {
+	// A run is spoken of when the scheduler has more of it than it last said, until
+	// an answer shows that this came.
+	ta := tableOf(t, 1, "a")
+	ta.Accept(stepOf("s", 1), Kept{}, false, begin)
+	ta.Place(begin)
+	engine, key := keyOf(t, ta, "s", 0)
+	hear(ta, engine, runner.ExchangeResponse{Runs: []runner.Progress{{Events: events(1, 2, 1), Key: key}}}, begin)
+	rq, _ := ta.Request(engine)
+	assert.DeepEqual(t, rq.Seen, []runner.Seen{{Events: 2, Key: key}})
+	rq, _ = ta.Request(engine)
+	assert.Equal(t, len(rq.Seen), 1, "no answer yet")
+	hear(ta, engine, runner.ExchangeResponse{}, begin)
+	rq, _ = ta.Request(engine)
+	assert.Equal(t, len(rq.Seen), 0)
+	hear(ta, engine, runner.ExchangeResponse{Runs: []runner.Progress{{First: 2, Key: key, State: runner.Complete}}}, begin)
+	rq, _ = ta.Request(engine)
+	assert.DeepEqual(t, rq.Seen, []runner.Seen{{Ended: true, Events: 2, Key: key}})
+	hear(ta, engine, runner.ExchangeResponse{}, begin)
+	rq, _ = ta.Request(engine)
+	assert.Equal(t, len(rq.Seen), 0)
+}
