peer: payloads from 2 KB on are compressed

Change: DEFLATE at its fastest, for payloads from 2 KB up to the message limit; what is unpacked is bounded by that limit too.

--- a/peer/pool.go
+++ b/peer/pool.go
@@ -50,7 +50,7 @@
 // it, the context's error, or one of this package's.
 func Call[Req, Resp any](ctx context.Context, po *Pool, address, method string, req Req) (Resp, error) {
 	var resp Resp
-	payload, err := Encode(req)
+	payload, err := encodePayload(req)
 	if err != nil {
 		return resp, err
 	}
@@ -58,7 +58,7 @@
 	if err != nil {
 		return resp, err
 	}
-	return resp, Decode(answer, &resp)
+	return resp, decodePayload(answer, &resp)
 }
 
 // Sender returns a function that calls a method without waiting: it returns at
--- a/peer/server.go
+++ b/peer/server.go
@@ -61,14 +61,14 @@
 	}
 	sv.handlers[method] = func(ctx context.Context, he message.Header, payload []byte) ([]byte, error) {
 		var req Req
-		if err := Decode(payload, &req); err != nil {
+		if err := decodePayload(payload, &req); err != nil {
 			return nil, errors.Wrapf(err, "decode the request of %s", method)
 		}
 		resp, err := fn(ctx, he, req)
 		if err != nil {
 			return nil, err
 		}
-		return Encode(resp)
+		return encodePayload(resp)
 	}
 }
 
