directory: the configuration is fed too

Change: the scheduler's feed carries a newer configuration; a process follows the key itself while no feeder answers, and reads it first.

--- a/directory/feed.go
+++ b/directory/feed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"wisteriacroft/keyvalue"
 	"wisteriacroft/message"
@@ -38,20 +39,26 @@
 // errNoFeeder means that no feeder is known.
 var errNoFeeder = errors.New("no feeder is known")
 
-// A FeedRequest asks for the endpoints if they are not those of a generation.
+// A FeedRequest asks for the endpoints if they are not those of a generation, and
+// for the configuration if it is newer than a version.
 type FeedRequest struct {
 	Boot       string // of the process whose generation it is
 	Generation uint64
+	Version    int64 // of the configuration; 0 for none
 }
 
-// A FeedResponse holds the endpoints, if Fresh.
+// A FeedResponse holds the endpoints, if Fresh, and the configuration, if newer.
 type FeedResponse struct {
-	Boot       string
-	Endpoints  []Endpoint
-	Fresh      bool // they are not those that were asked with
-	Generation uint64
+	Boot          string
+	Configuration *Configuration `cbor:",omitempty"`
+	Endpoints     []Endpoint
+	Fresh         bool // they are not those that were asked with
+	Generation    uint64
 }
 
+// news reports whether a response holds anything.
+func (re *FeedResponse) news() bool { return re.Fresh || re.Configuration != nil }
+
 // RegisterFeed lets other processes take their endpoints from a follower.
 func RegisterFeed(sv *peer.Server, fo *Follower, boot string) {
 	peer.Handle(sv, feedMethod, func(ctx context.Context, _ message.Header, rq FeedRequest) (FeedResponse, error) {
@@ -59,7 +66,8 @@
 	})
 }
 
-// feed answers once the endpoints are others than those that the caller has.
+// feed answers once the endpoints or the configuration are others than those that
+// the caller has.
 func (fo *Follower) feed(ctx context.Context, boot string, rq FeedRequest) (FeedResponse, error) {
 	end := time.Now().Add(feedWait)
 	for {
@@ -70,37 +78,45 @@
 		case age > feedAge:
 			return FeedResponse{}, errors.Wrapf(ErrOldEndpoints, "%s", age)
 		}
+		re := FeedResponse{Boot: boot, Generation: generation}
+		if co := fo.Directory.Configuration(); co != nil && co.Version > rq.Version {
+			re.Configuration = co
+		}
 		if rq.Boot != boot || rq.Generation != generation {
-			return FeedResponse{
-				Boot: boot, Endpoints: fo.Directory.Endpoints(""), Fresh: true, Generation: generation,
-			}, nil
+			re.Endpoints, re.Fresh = fo.Directory.Endpoints(""), true
 		}
-		if !time.Now().Before(end) {
-			return FeedResponse{Boot: boot, Generation: generation}, nil
+		if re.news() || !time.Now().Before(end) {
+			return re, nil
 		}
 		sleep(ctx, feedPoll)
 	}
 }
 
-// takeFeed takes the endpoints from the feeder for as long as it can be reached,
-// and reads them itself meanwhile.
+// takeFeed takes the endpoints and the configuration from the feeder for as long
+// as it can be reached, and reads them itself meanwhile.
 //
 // Each call to the key-value service is paid for, and an endpoint's entry
 // changes with each version of its weights. Fed by one process, 27 entries make
 // a tenth of the calls that each would make for itself.
 func (fo *Follower) takeFeed(ctx context.Context) {
 	var rq FeedRequest
+	var un unfed
+	defer un.end()
+	un.begin(ctx, fo)
 	for ctx.Err() == nil {
+		if co := fo.Directory.Configuration(); co != nil {
+			rq.Version = co.Version
+		}
 		re, err := fo.askFeed(ctx, rq)
 		fo.hear(err)
 		if err == nil {
-			if re.Fresh {
-				fo.Directory.replaceEndpoints(re.Endpoints)
-			}
+			un.end()
+			fo.takeResponse(re)
 			rq = FeedRequest{Boot: re.Boot, Generation: re.Generation}
 			continue
 		}
 		rq = FeedRequest{}
+		un.begin(ctx, fo)
 		ch, err := fo.scanEndpoints(ctx)
 		fo.hear(err)
 		fo.away(fo.Source.EndpointPrefix, err)
@@ -111,6 +127,36 @@
 	}
 }
 
+// takeResponse takes in what the feeder said.
+func (fo *Follower) takeResponse(re FeedResponse) {
+	if re.Fresh {
+		fo.Directory.replaceEndpoints(re.Endpoints)
+	}
+	if co := re.Configuration; co != nil && fo.Directory.SetConfiguration(co) {
+		fo.Log.WithFields(logrus.Fields{"from": "feeder", "routes": len(co.Routes), "taken": true, "version": co.Version}).Info("configuration")
+	}
+}
+
+// An unfed follows the configuration while there is no feeder.
+type unfed struct{ cancel context.CancelFunc }
+
+// begin starts following, with a reading first: what came while the process was
+// fed may be missing.
+func (un *unfed) begin(ctx context.Context, fo *Follower) {
+	if un.cancel != nil {
+		return
+	}
+	ctx, un.cancel = context.WithCancel(ctx)
+	go fo.Prefix(ctx, fo.Source.ConfigurationKey, followWait, 0, fo.applyOperator)
+}
+
+func (un *unfed) end() {
+	if un.cancel != nil {
+		un.cancel()
+		un.cancel = nil
+	}
+}
+
 // scanPause is the pause between readings of all endpoints while there is no
 // feeder.
 const scanPause = 500 * time.Millisecond
--- a/directory/feed_test.go
+++ b/directory/feed_test.go
@@ -47,6 +47,62 @@
 	})
 }
 
+func TestConfigurationIsFed(t *testing.T) {
+	// A process that is fed makes no call to the key-value service for the
+	// configuration, and a newer one reaches it at once.
+	synctest.Test(t, func(t *testing.T) {
+		di := withEndpoint()
+		di.SetConfiguration(&Configuration{Version: 3})
+		di.Confirm(time.Now())
+		feeder := &Follower{Directory: di}
+		first, err := feeder.feed(t.Context(), "boot", FeedRequest{})
+		assert.NilError(t, err)
+		assert.Equal(t, first.Configuration.Version, int64(3))
+
+		time.AfterFunc(100*time.Millisecond, func() { di.SetConfiguration(&Configuration{Version: 5}) })
+		begun := time.Now()
+		second, err := feeder.feed(t.Context(), "boot", FeedRequest{Boot: "boot", Generation: first.Generation, Version: 3})
+		assert.NilError(t, err)
+		assert.Equal(t, second.Configuration.Version, int64(5))
+		assert.Assert(t, !second.Fresh)
+		assert.Assert(t, time.Since(begun) < 150*time.Millisecond)
+
+		logger := logrus.New()
+		logger.SetLevel(logrus.PanicLevel)
+		fed := &Follower{Directory: &Directory{}, Log: logrus.NewEntry(logger)}
+		fed.takeResponse(second)
+		assert.Equal(t, fed.Directory.Configuration().Version, int64(5))
+		fed.takeResponse(first) // an answer that was overtaken
+		assert.Equal(t, fed.Directory.Configuration().Version, int64(5))
+	})
+}
+
+func TestConfigurationOfAProcessThatIsNotFed(t *testing.T) {
+	// Symptom: requests go by an old route for as long as no scheduler is there.
+	// Sequence: the feeder is gone; operators change the configuration.
+	// Cause: a process that is fed as a rule did not follow the key itself.
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var me keyvalue.Memory
+		put(t, &me, "op/config", `{"Version":3}`)
+		logger := logrus.New()
+		logger.SetLevel(logrus.PanicLevel)
+		log := logrus.NewEntry(logger)
+		fo := &Follower{
+			Client: me.Client(), DirectFunc: func() bool { return false }, Directory: &Directory{},
+			Feeder: &lease.Finder{Client: me.Client(), Log: log, Name: "scheduler"}, Log: log, Source: source(),
+		}
+		go fo.Run(ctx)
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, fo.Directory.Configuration().Version, int64(3))
+		put(t, &me, "op/config", `{"Version":5}`)
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, fo.Directory.Configuration().Version, int64(5))
+		cancel()
+		synctest.Wait()
+	})
+}
+
 func TestOldKnowledgeIsNotFed(t *testing.T) {
 	// Symptom: entries that are well send requests to an endpoint that has left.
 	// Sequence: the feeder loses its path to the key-value service, and entries
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -55,8 +55,8 @@
 	Log       *logrus.Entry
 	Source    Source
 	// DirectFunc reports whether the process reads all from the key-value
-	// service itself. Else it takes endpoints from Feeder, which it reaches over
-	// Pool, and reads only the configuration and what concerns its own instance.
+	// service itself. Else it takes endpoints and the configuration from Feeder,
+	// which it reaches over Pool, and reads only what concerns its own instance.
 	// Nil means that it does.
 	DirectFunc func() bool
 	Feeder     *lease.Finder
@@ -102,10 +102,7 @@
 			prefix(fo.Source.EndpointPrefix, endpointsWait, followPause, fo.applyEndpoints),
 		}
 	}
-	tasks := []func(ctx context.Context){
-		prefix(fo.Source.ConfigurationKey, followWait, 0, fo.applyOperator),
-		fo.takeFeed,
-	}
+	tasks := []func(ctx context.Context){fo.takeFeed}
 	if fo.Own != "" {
 		tasks = append(tasks, prefix(fo.Own, followWait, 0, fo.applyOperator))
 	}
