runner, step: attendants keep the score with the text

Cause: scores that were not listed yet lay in the scheduler's memory alone.

Change: the scheduler tells the attendant that holds the text its score; the next scheduler gets both. A score goes with one run of one item of one step, so that it answers that item's own call and came after its last event. Test: TestScoreOutlivesTheScheduler.

--- a/runner/message.go
+++ b/runner/message.go
@@ -49,6 +49,7 @@
 	Ended  bool `cbor:",omitempty"` // it knows that the run has ended
 	Events int
 	Key    Key
+	Score  string `cbor:",omitempty"` // of the run's whole text, to be kept with it
 }
 
 // An ExchangeRequest is what the scheduler wants done, and what it knows.
@@ -92,6 +93,7 @@
 	Events   []Event
 	First    int // position of the first of Events in the run's text
 	Key      Key
+	Score    string `cbor:",omitempty"` // of the whole text, if a scheduler has had it scored
 	State    State
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -48,7 +48,8 @@
 	events   []Event
 	key      Key
 	noted    State // as the scheduler knows it
-	seen     int   // events that the scheduler has
+	score    string
+	seen     int // events that the scheduler has
 	state    State
 	told     bool // the scheduler knows of the run
 	stopped  bool
@@ -193,6 +194,9 @@
 			if se.Ended {
 				ru.noted = ru.state
 			}
+			if se.Score != "" && ru.state == Complete {
+				ru.score = se.Score
+			}
 		}
 	}
 	for _, key := range rq.Stops {
@@ -338,7 +342,7 @@
 		if size > maxResponse {
 			continue // the next response has it
 		}
-		pr := Progress{Detail: ru.detail, Endpoint: ru.endpoint, Events: ru.events[ru.seen:], First: ru.seen, Key: ru.key, State: ru.state}
+		pr := Progress{Detail: ru.detail, Endpoint: ru.endpoint, Events: ru.events[ru.seen:], First: ru.seen, Key: ru.key, Score: ru.score, State: ru.state}
 		for _, ev := range pr.Events {
 			size += len(ev.Data)
 		}
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -316,7 +316,9 @@
 		assert.Equal(t, re.Runs[0].State, Complete, "the end is not known yet")
 		re = exchange(t, rn, ExchangeRequest{Epoch: 1, Seen: []Seen{{Ended: true, Events: 5, Key: key}}})
 		assert.Equal(t, len(re.Runs), 0)
+		exchange(t, rn, ExchangeRequest{Epoch: 1, Seen: []Seen{{Ended: true, Events: 5, Key: key, Score: "mark"}}})
 		re = exchange(t, rn, ExchangeRequest{Epoch: 2})
 		assert.Equal(t, len(re.Runs[0].Events), 5, "another scheduler knows nothing")
+		assert.Equal(t, re.Runs[0].Score, "mark")
 	})
 }
--- a/step/engines.go
+++ b/step/engines.go
@@ -108,8 +108,8 @@
 		}
 	}
 	for key, ir := range en.kept {
-		if !ir.run.saidEnd {
-			rq.Seen = append(rq.Seen, runner.Seen{Ended: true, Events: len(ir.events), Key: key})
+		if !ir.run.saidEnd || ir.run.saidScore != ir.reward.score {
+			rq.Seen = append(rq.Seen, runner.Seen{Ended: true, Events: len(ir.events), Key: key, Score: ir.reward.score})
 		}
 	}
 	for key := range en.forget {
@@ -161,7 +161,7 @@
 			ir.run.said = max(ir.run.said, se.Events+1)
 		}
 		if ir, ok := en.kept[se.Key]; ok && se.Ended {
-			ir.run.saidEnd = true
+			ir.run.saidEnd, ir.run.saidScore = true, se.Score
 		}
 	}
 }
@@ -235,6 +235,7 @@
 		}
 		ir.step.gauge.observe(ir.item.Hint, len(ir.events))
 		ta.keep(ir)
+		ir.reward.score = pr.Score
 		ta.whole(ir, now)
 	case runner.Impossible:
 		ta.release(ir)
--- a/step/reward_test.go
+++ b/step/reward_test.go
@@ -259,6 +259,33 @@
 	}
 }
 
+func TestScoreOutlivesTheScheduler(t *testing.T) {
+	// Symptom: after the death of a scheduler, texts wait for 2.5 s for their scores
+	// while all calls of a step are made again at once.
+	// Sequence: texts have their scores and wait to be listed; the scheduler dies.
+	// Cause: scores lay in its memory alone.
+	ta := wholeTexts(t, scored(stepOf("s", 1)))
+	irs := ta.StartRewards(at(6), begin)
+	hear(ta, "a", runner.ExchangeResponse{}, begin) // tells of the end
+	ta.Rewarded(irs[0], signed(irs[0]), time.Millisecond, begin)
+	rq, _ := ta.Request("a")
+	key := ta.steps["s"].items[0].run.key
+	want := runner.Seen{Ended: true, Events: 3, Key: key, Score: "mark of call-s-0-0"}
+	assert.DeepEqual(t, rq.Seen, []runner.Seen{want})
+	hear(ta, "a", runner.ExchangeResponse{}, begin)
+	rq, _ = ta.Request("a")
+	assert.Equal(t, len(rq.Seen), 0)
+
+	next := NewTable(2, nil)
+	addEngines(next, begin, "a")
+	next.Accept(scored(stepOf("s", 1)), Kept{}, false, begin)
+	hear(next, "a", runner.ExchangeResponse{Runs: []runner.Progress{
+		{Events: events(1, 3, 1), Key: key, Score: want.Score, State: runner.Complete},
+	}}, begin)
+	assert.Equal(t, len(next.StartRewards(at(6), begin)), 0)
+	assert.Equal(t, listed(next, begin.Add(time.Minute))[0].Score, want.Score)
+}
+
 func TestAttendantDiesBeforeTheScore(t *testing.T) {
 	// Symptom: a whole text is made again.
 	// Sequence: the attendant that holds it is gone before its score is there.
--- a/step/table.go
+++ b/step/table.go
@@ -46,9 +46,10 @@
 	engine    string
 	eventAt   time.Time // of the newest event, or of the launch
 	key       runner.Key
-	prior     int  // events that it was launched with
-	said      int  // events that the attendant knows to be here, and one
-	saidEnd   bool // the attendant knows that the end is known here
+	prior     int    // events that it was launched with
+	said      int    // events that the attendant knows to be here, and one
+	saidEnd   bool   // the attendant knows that the end is known here
+	saidScore string // the score that the attendant keeps
 	stopping  bool
 	version   uint64
 }
