--- a/directory/follower.go
+++ b/directory/follower.go
@@ -34,6 +34,9 @@
 	endpointsWait = 800 * time.Millisecond
 )
 
+// revisionField is the field of log lines that holds a key's version.
+const revisionField = "revision"
+
 // A Source says where in the key-value service things lie and how they read.
 type Source struct {
 	ConfigurationKey string
@@ -203,7 +206,7 @@
 
 func (fo *Follower) applyConfiguration(it keyvalue.Item) {
 	co, err := fo.Source.DecodeConfigurationFunc(it.Value)
-	en := fo.Log.WithFields(logrus.Fields{"key": it.Key, "revision": it.Version})
+	en := fo.Log.WithFields(logrus.Fields{"key": it.Key, revisionField: it.Version})
 	if err != nil {
 		en.WithError(err).Error("configuration does not decode, the one in force stays")
 		return
@@ -214,7 +217,7 @@
 
 func (fo *Follower) applyVersion(it keyvalue.Item) {
 	model, version, err := fo.Source.DecodeVersionFunc(it.Value)
-	en := fo.Log.WithFields(logrus.Fields{"key": it.Key, "revision": it.Version})
+	en := fo.Log.WithFields(logrus.Fields{"key": it.Key, revisionField: it.Version})
 	if err != nil {
 		en.WithError(err).Error("named version does not decode")
 		return
@@ -233,7 +236,7 @@
 		id := strings.TrimPrefix(it.Key, fo.Source.EndpointPrefix)
 		if it.Value == nil {
 			fo.Directory.RemoveEndpoint(id, now)
-			fo.Log.WithFields(logrus.Fields{"endpoint": id, "revision": it.Version}).Info("endpoint's entry removed")
+			fo.Log.WithFields(logrus.Fields{"endpoint": id, revisionField: it.Version}).Info("endpoint's entry removed")
 			continue
 		}
 		en, err := fo.Source.DecodeEndpointFunc(id, it.Value)
@@ -244,7 +247,7 @@
 		en.Revision = it.Version
 		fo.logEndpoint(en)
 		if old := fo.Directory.SetEndpoint(en); old != "" {
-			fo.Log.WithFields(logrus.Fields{"by": en.ID, "endpoint": old, "revision": it.Version}).Info("endpoint was replaced")
+			fo.Log.WithFields(logrus.Fields{"by": en.ID, "endpoint": old, revisionField: it.Version}).Info("endpoint was replaced")
 		}
 		ens = append(ens, en)
 	}
@@ -261,6 +264,6 @@
 	}
 	fo.Log.WithFields(logrus.Fields{
 		"address": en.Address, "endpoint": en.ID, "leaving": en.Leaving,
-		"revision": en.Revision, "service": en.Service,
+		revisionField: en.Revision, "service": en.Service,
 	}).Info("endpoint")
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -32,7 +32,7 @@
 	status    int
 	stream    io.ReadCloser // instead of body, on streaming routes
 	took      time.Duration
-	tried     map[string]bool // endpoints that the request went to, if it was not served
+	tried     map[string]bool // endpoints that the request went to
 }
 
 // failed reports whether the endpoint ran the request and failed it.
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -112,63 +112,35 @@
 // run sends a request to endpoints in turn until one answers it. A repeatable
 // one that waits longer than usual goes to a second one meanwhile.
 func (fo *Forwarder) run(ctx context.Context, rq *request) *result {
-	tried := map[string]bool{}
-	results := make(chan *result, max(rq.route.MaxAttempts, 1))
-	running, failures, ran := 0, 0, false
+	at := &attempts{forwarder: fo, request: rq, results: make(chan *result, max(rq.route.MaxAttempts, 1)), tried: map[string]bool{}}
 	last := &result{notRun: true}
-	launch := func() bool {
-		if len(tried) >= max(rq.route.MaxAttempts, 1) {
-			return false
-		}
-		// Read anew for each attempt: an endpoint may have begun to leave since
-		// the request came, and must get nothing more.
-		en, ok := fo.table.Pick(fo.Directory.Endpoints(rq.service), tried, fo.Domain, time.Now())
-		if !ok {
-			return false
-		}
-		tried[en.ID] = true
-		running++
-		go func() {
-			re := fo.send(ctx, rq, en)
-			fo.judge(ctx, rq, re)
-			results <- re
-		}()
-		return true
-	}
-	if !launch() {
+	if !at.launch(ctx) {
 		return last
 	}
 	hedge := time.NewTimer(max(hedgeFactor*fo.table.Latency(fo.Directory.Endpoints(rq.service)), minHedge))
 	defer hedge.Stop()
-	for running > 0 {
+	for at.running > 0 {
 		select {
 		case <-ctx.Done():
-			return &result{attempts: len(tried), endpoint: last.endpoint, err: ctx.Err(), failures: failures, tried: tried}
+			return at.tell(&result{endpoint: last.endpoint, err: ctx.Err()})
 		case <-hedge.C:
-			if rq.repeatable() && fo.another(rq, tried, "slow") {
-				launch()
-			}
-		case re := <-results:
-			running--
-			if re.failed() {
-				failures++
+			if rq.repeatable() && fo.another(rq, at.tried, "slow") {
+				at.launch(ctx)
 			}
-			re.attempts, re.failures = len(tried), failures
+		case re := <-at.results:
+			last = at.take(re)
 			if re.final(rq.repeatable()) {
 				return re
 			}
-			ran = ran || !re.notRun
-			last = re
-			if (re.notRun || rq.repeatable()) && fo.another(rq, tried, "failed") {
-				launch()
+			if (re.notRun || rq.repeatable()) && fo.another(rq, at.tried, "failed") {
+				at.launch(ctx)
 			}
 		}
 	}
-	if last.notRun && ran {
-		last = &result{attempts: len(tried), endpoint: last.endpoint, err: errBroken, failures: failures}
+	if last.notRun && at.ran {
+		last = &result{endpoint: last.endpoint, err: errBroken}
 	}
-	last.tried = tried
-	return last
+	return at.tell(last)
 }
 
 // another asks the budget for one more attempt.
--- a/peer/pack.go
+++ b/peer/pack.go
@@ -38,7 +38,7 @@
 	if len(payload) < packFrom || len(payload) > maxUnpacked {
 		return payload, nil // the message's limit refuses what is too large
 	}
-	fw := packers.Get().(*flate.Writer) //nolint:errcheck // nothing else is in there
+	fw := packers.Get().(*flate.Writer)
 	defer packers.Put(fw)
 	var packed bytes.Buffer
 	fw.Reset(&packed)
@@ -56,14 +56,10 @@
 
 // unpack returns a payload as it was before pack.
 func unpack(payload []byte) ([]byte, error) {
-	var tag cbor.RawTag
-	if len(payload) == 0 || payload[0]>>5 != cborTag || tag.UnmarshalCBOR(payload) != nil || tag.Number != packedTag {
+	packed, ok := packedIn(payload)
+	if !ok {
 		return payload, nil
 	}
-	var packed []byte
-	if err := cbor.Unmarshal(tag.Content, &packed); err != nil {
-		return nil, errors.Wrap(err, "decompress")
-	}
 	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpacked+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "decompress")
@@ -74,6 +70,17 @@
 	return plain, nil
 }
 
+// packedIn returns what a payload holds that is compressed.
+func packedIn(payload []byte) ([]byte, bool) {
+	if len(payload) == 0 || payload[0]>>5 != cborTag {
+		return nil, false
+	}
+	var tag cbor.RawTag
+	var packed []byte
+	ok := cbor.Unmarshal(payload, &tag) == nil && tag.Number == packedTag && cbor.Unmarshal(tag.Content, &packed) == nil
+	return packed, ok
+}
+
 // cborTag is the type of a tag, in the upper bits of its first byte.
 const cborTag = 6
 
--- a/step/reward.go
+++ b/step/reward.go
@@ -79,8 +79,8 @@
 	places int    // of its endpoints
 }
 
-// StartRewards returns the items whose reward calls are to be made now, and
-// counts them as made until Rewarded. Locate tells where a call goes now.
+// startRewards returns the items whose reward calls are to be made now, and
+// counts them as made until rewarded. Locate tells where a call goes now.
 //
 // Load pattern: the last texts of a step's groups become whole at once, and
 // share the places of a few plain endpoints with live callers, of which four in
@@ -88,7 +88,7 @@
 // that a live caller finds one. The call goes first whose step has the least
 // time left, and then the one whose group lacks the fewest items: a group counts
 // only when it is whole.
-func (ta *Table) StartRewards(locate func(ca *forward.Call) plainService, now time.Time) []*itemRow {
+func (ta *Table) startRewards(locate func(ca *forward.Call) plainService, now time.Time) []*itemRow {
 	var due []*itemRow
 	active := map[string]int{}
 	services := map[*itemRow]plainService{}
@@ -151,10 +151,10 @@
 	})
 }
 
-// Rewarded takes in what became of an item's reward call. An item is lost only
+// rewarded takes in what became of an item's reward call. An item is lost only
 // after as many answers that an endpoint failed as its step and the call's route
 // both allow: refusals, cut connections and silence say nothing of the item.
-func (ta *Table) Rewarded(ir *itemRow, re forward.Reply, took time.Duration, now time.Time) {
+func (ta *Table) rewarded(ir *itemRow, re forward.Reply, took time.Duration, now time.Time) {
 	ir.reward.calling = false
 	ir.reward.failures += re.Failures
 	ta.log("reward call answered", map[string]any{
--- a/step/reward_test.go
+++ b/step/reward_test.go
@@ -57,11 +57,11 @@
 	// Sequence: the text of a sample is whole, and its reward call is under way.
 	// Cause: a whole text was all that a result needed.
 	ta := wholeTexts(t, scored(stepOf("s", 2)))
-	irs := ta.StartRewards(at(6), begin)
+	irs := ta.startRewards(at(6), begin)
 	assert.Equal(t, len(irs), 2)
-	assert.Equal(t, len(ta.StartRewards(at(6), begin)), 0, "they are under way")
+	assert.Equal(t, len(ta.startRewards(at(6), begin)), 0, "they are under way")
 	assert.Equal(t, len(listed(ta, begin.Add(time.Minute))), 0)
-	ta.Rewarded(irs[0], signed(irs[0]), time.Millisecond, begin)
+	ta.rewarded(irs[0], signed(irs[0]), time.Millisecond, begin)
 	res := listed(ta, begin.Add(time.Minute))
 	assert.Equal(t, len(res), 1)
 	assert.Equal(t, res[0].Score, "mark of "+irs[0].item.Reward.ID)
@@ -93,10 +93,10 @@
 			var ir *itemRow
 			for _, re := range tc.replies {
 				now = now.Add(maxRewardPause)
-				irs := ta.StartRewards(at(6), now)
+				irs := ta.startRewards(at(6), now)
 				assert.Equal(t, len(irs), 1)
 				ir = irs[0]
-				ta.Rewarded(ir, re, time.Millisecond, now)
+				ta.rewarded(ir, re, time.Millisecond, now)
 			}
 			assert.Equal(t, ir.state, tc.state)
 		})
@@ -110,9 +110,9 @@
 	ta := wholeTexts(t, scored(stepOf("s", 1)))
 	calls := 0
 	for now := begin; now.Before(begin.Add(5 * time.Second)); now = now.Add(10 * time.Millisecond) {
-		for _, ir := range ta.StartRewards(at(6), now) {
+		for _, ir := range ta.startRewards(at(6), now) {
 			calls++
-			ta.Rewarded(ir, forward.Reply{NotRun: true}, time.Millisecond, now)
+			ta.rewarded(ir, forward.Reply{NotRun: true}, time.Millisecond, now)
 		}
 	}
 	assert.Equal(t, calls, 8, "after 0.1, 0.2, 0.4 and 0.8 s, and then each second")
@@ -137,20 +137,20 @@
 	}
 	order := []string{}
 	for len(order) < 6 {
-		irs := ta.StartRewards(at(6), begin)
+		irs := ta.startRewards(at(6), begin)
 		assert.Assert(t, len(irs) > 0 && len(irs) <= 3, "%d calls", len(irs))
 		for _, ir := range irs {
 			order = append(order, ir.step.step.ID+" "+ir.item.Group)
-			ta.Rewarded(ir, signed(ir), time.Millisecond, begin)
+			ta.rewarded(ir, signed(ir), time.Millisecond, begin)
 		}
 	}
 	assert.DeepEqual(t, order, []string{"older g1", "older g1", "older g0", "older g0", "older g0", "newer g0"})
-	assert.Equal(t, len(ta.StartRewards(at(1), begin)), 0)
+	assert.Equal(t, len(ta.startRewards(at(1), begin)), 0)
 }
 
 func TestOneCallGoesWhereNoPlaceIsKnown(t *testing.T) {
 	ta := wholeTexts(t, scored(stepOf("s", 2)))
-	assert.Equal(t, len(ta.StartRewards(at(0), begin)), 1)
+	assert.Equal(t, len(ta.startRewards(at(0), begin)), 1)
 }
 
 func TestCallWithoutRouteWaits(t *testing.T) {
@@ -166,21 +166,21 @@
 	}
 	nowhere := func(*forward.Call) plainService { return plainService{} }
 	for range 100 {
-		assert.Equal(t, len(ta.StartRewards(nowhere, begin)), 0)
+		assert.Equal(t, len(ta.startRewards(nowhere, begin)), 0)
 	}
 	assert.Equal(t, lines, 1)
-	assert.Equal(t, len(ta.StartRewards(at(6), begin)), 1)
+	assert.Equal(t, len(ta.startRewards(at(6), begin)), 1)
 }
 
 func TestEndEndsCalls(t *testing.T) {
 	// Symptom: a reward call reaches an endpoint seconds after its step's end.
 	// Sequence: a step ends while calls are due and under way.
 	ta := wholeTexts(t, scored(stepOf("s", 2)))
-	irs := ta.StartRewards(at(2), begin)
+	irs := ta.startRewards(at(2), begin)
 	assert.Equal(t, len(irs), 1)
 	ta.End("s")
-	assert.Equal(t, len(ta.StartRewards(at(2), begin.Add(time.Minute))), 0)
-	ta.Rewarded(irs[0], signed(irs[0]), time.Millisecond, begin) // an answer that was under way
+	assert.Equal(t, len(ta.startRewards(at(2), begin.Add(time.Minute))), 0)
+	ta.rewarded(irs[0], signed(irs[0]), time.Millisecond, begin) // an answer that was under way
 	assert.Equal(t, irs[0].state, scoring)
 }
 
@@ -207,8 +207,8 @@
 			ta.Accept(scored(stepOf("s", 2)), Kept{}, false, begin)
 			ta.Place(begin)
 			end(ta, t, "s", 0, runner.Complete, events(1, 3, 1), begin)
-			irs := ta.StartRewards(at(6), begin)
-			ta.Rewarded(irs[0], signed(irs[0]), time.Millisecond, begin)
+			irs := ta.startRewards(at(6), begin)
+			ta.rewarded(irs[0], signed(irs[0]), time.Millisecond, begin)
 			ta.End("s")
 			again := scored(stepOf("s", 2))
 			again.ID, again.MinVersion = "again", tc.min
@@ -232,9 +232,9 @@
 		t.Run(calls, func(t *testing.T) {
 			ta := wholeTexts(t, scored(stepOf("s", 1)))
 			if calls != "none" {
-				for _, ir := range ta.StartRewards(at(6), begin) {
+				for _, ir := range ta.startRewards(at(6), begin) {
 					if calls == "answered" {
-						ta.Rewarded(ir, signed(ir), time.Millisecond, begin)
+						ta.rewarded(ir, signed(ir), time.Millisecond, begin)
 					}
 				}
 			}
@@ -250,9 +250,9 @@
 				assert.Equal(t, ir.state, scoring)
 				rq, _ := next.Request("a")
 				assert.Equal(t, len(rq.Forget), 0, "the attendant holds the text until it is listed")
-				irs := next.StartRewards(at(6), begin)
+				irs := next.startRewards(at(6), begin)
 				assert.Equal(t, len(irs), 1)
-				next.Rewarded(ir, signed(ir), time.Millisecond, begin)
+				next.rewarded(ir, signed(ir), time.Millisecond, begin)
 				assert.Equal(t, listed(next, begin.Add(time.Minute))[0].Score, "mark of call-s-0-0")
 			}
 		})
@@ -265,9 +265,9 @@
 	// Sequence: texts have their scores and wait to be listed; the scheduler dies.
 	// Cause: scores lay in its memory alone.
 	ta := wholeTexts(t, scored(stepOf("s", 1)))
-	irs := ta.StartRewards(at(6), begin)
+	irs := ta.startRewards(at(6), begin)
 	hear(ta, "a", runner.ExchangeResponse{}, begin) // tells of the end
-	ta.Rewarded(irs[0], signed(irs[0]), time.Millisecond, begin)
+	ta.rewarded(irs[0], signed(irs[0]), time.Millisecond, begin)
 	rq, _ := ta.Request("a")
 	key := ta.steps["s"].items[0].run.key
 	want := runner.Seen{Ended: true, Events: 3, Key: key, Score: "mark of call-s-0-0"}
@@ -282,7 +282,7 @@
 	hear(next, "a", runner.ExchangeResponse{Runs: []runner.Progress{
 		{Events: events(1, 3, 1), Key: key, Score: want.Score, State: runner.Complete},
 	}}, begin)
-	assert.Equal(t, len(next.StartRewards(at(6), begin)), 0)
+	assert.Equal(t, len(next.startRewards(at(6), begin)), 0)
 	assert.Equal(t, listed(next, begin.Add(time.Minute))[0].Score, want.Score)
 }
 
@@ -291,9 +291,9 @@
 	// Sequence: the attendant that holds it is gone before its score is there.
 	ta := wholeTexts(t, scored(stepOf("s", 1)))
 	ta.SetEngines(nil, begin)
-	irs := ta.StartRewards(at(6), begin)
+	irs := ta.startRewards(at(6), begin)
 	assert.Equal(t, len(irs), 1)
-	ta.Rewarded(irs[0], signed(irs[0]), time.Millisecond, begin)
+	ta.rewarded(irs[0], signed(irs[0]), time.Millisecond, begin)
 	res := listed(ta, begin.Add(time.Minute))
 	assert.Equal(t, string(res[0].Text), "e1\ne2\ne3")
 }
--- a/step/rewarder.go
+++ b/step/rewarder.go
@@ -26,7 +26,7 @@
 	}
 	places := map[string]int{}
 	locate := func(ca *forward.Call) plainService { return sc.locate(co, places, ca) }
-	for _, ir := range te.table.StartRewards(locate, now) {
+	for _, ir := range te.table.startRewards(locate, now) {
 		ctx, cancel := te.begin()
 		te.calls[ir] = cancel
 		go sc.reward(ctx, te, ir)
@@ -68,6 +68,6 @@
 	if sc.term != te {
 		return // the next scheduler makes the call again
 	}
-	te.table.Rewarded(ir, re, now.Sub(begun), now)
+	te.table.rewarded(ir, re, now.Sub(begun), now)
 	sc.startRewards(te, now)
 }
