--- a/forward/table.go
+++ b/forward/table.go
@@ -42,8 +42,16 @@
 // A Table holds a row for each endpoint. The zero Table is empty and ready to
 // use.
 type Table struct {
-	mu   sync.Mutex
-	rows map[string]*row
+	drawFunc func(n int) int // draws a number below n; nil draws at random
+	mu       sync.Mutex
+	rows     map[string]*row
+}
+
+func (ta *Table) draw(n int) int {
+	if ta.drawFunc == nil {
+		return rand.IntN(n)
+	}
+	return ta.drawFunc(n)
 }
 
 func (ta *Table) row(id string) *row {
@@ -72,7 +80,7 @@
 	best, bestCost, found := directory.Endpoint{}, 0.0, false
 	offset := 0
 	if len(ens) > 0 {
-		offset = rand.IntN(len(ens))
+		offset = ta.draw(len(ens))
 	}
 	for i := range ens {
 		en := ens[(i+offset)%len(ens)]
