step, keyvalue, lease: writes that fit a transaction; a bounded reading

Found by reading, as no log was kept: an update held up to 8 chunks, 8 checkpoints and 8 deletes, with their expectations 41 entries, of which the service takes 32. It would be repeated as it is for good. Accepting a step of 32 values had the same fault. A standby's reading of the lease had no bound. Ruled out: a crash (no restarts), a scheduler that decides nothing (orders).

Change: updates fill one transaction, results first; the client refuses what is too large, with a definite outcome. TestUpdateFitsOneTransaction fails without it (41 entries).

--- a/keyvalue/client.go
+++ b/keyvalue/client.go
@@ -23,8 +23,8 @@
 	ErrNotFound = errors.New("key not found")
 	// ErrOutcomeUnknown means that a write may or may not have taken effect.
 	ErrOutcomeUnknown = errors.New("outcome of the write is unknown")
-	// ErrTooLarge means that the value exceeds MaxValueSize; nothing was
-	// written.
+	// ErrTooLarge means that a value exceeds MaxValueSize, or a transaction
+	// MaxTransaction; nothing was written.
 	ErrTooLarge = errors.New("value is too large")
 	// ErrUnavailable means that the service could not be reached; nothing was
 	// written.
--- a/keyvalue/transaction.go
+++ b/keyvalue/transaction.go
@@ -25,6 +25,10 @@
 	Value []byte
 }
 
+// MaxTransaction is how many expectations, writes and deletes a Transaction may
+// have in all.
+const MaxTransaction = 32
+
 // A Transaction is applied as a whole or not at all.
 type Transaction struct {
 	Deletes []string
@@ -32,6 +36,9 @@
 	Writes  []Write
 }
 
+// Size returns how many expectations, writes and deletes a transaction has.
+func (tx Transaction) Size() int { return len(tx.Deletes) + len(tx.Expects) + len(tx.Writes) }
+
 // Changes are the items under a prefix, or what changed there, as of Version.
 // An item that was deleted has a nil Value.
 type Changes struct {
@@ -42,6 +49,9 @@
 // Transact applies a transaction and returns the version of its writes.
 // ErrConflict means that an expectation did not hold.
 func (cl *Client) Transact(ctx context.Context, tx Transaction) (int64, error) {
+	if tx.Size() > MaxTransaction {
+		return 0, errors.Wrapf(ErrTooLarge, "transact: %d of at most %d entries", tx.Size(), MaxTransaction)
+	}
 	for _, wr := range tx.Writes {
 		if len(wr.Value) > MaxValueSize {
 			return 0, errors.Wrapf(ErrTooLarge, "transact %s: %d bytes", wr.Key, len(wr.Value))
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -201,7 +201,7 @@
 // the service forgets its history after some seconds, and a record is older.
 func (ho *Holder) watch(ctx context.Context, rec Record) {
 	key := leaseKey(ho.Name)
-	ch, err := ho.Client.Scan(ctx, key)
+	ch, err := ho.scan(ctx, key)
 	if err == nil && len(ch.Items) == 0 {
 		return // the name is free already
 	}
@@ -223,6 +223,14 @@
 	return true
 }
 
+// scan reads the name's key. Bounded, since a service that loses an answer says
+// nothing more on that connection, and whoever stands by would wait for good.
+func (ho *Holder) scan(ctx context.Context, key string) (keyvalue.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, ho.TTL)
+	defer cancel()
+	return ho.Client.Scan(ctx, key)
+}
+
 func (ho *Holder) follow(ctx context.Context, key string, after int64) (keyvalue.Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, standByWait+ho.TTL/renewals)
 	defer cancel()
--- a/lease/holder_test.go
+++ b/lease/holder_test.go
@@ -233,3 +233,33 @@
 		synctest.Wait()
 	})
 }
+
+func TestStandbyWhoseAnswerIsLost(t *testing.T) {
+	// Symptom: nothing is scheduled for the rest of a day.
+	// Sequence: the answer to a standby's reading of the name is lost; the holder
+	// gives the name up.
+	// Cause: the reading had no bound, and the standby waited for its answer.
+	synctest.Test(t, func(t *testing.T) {
+		var me keyvalue.Memory
+		ctx, cancel := context.WithCancel(t.Context())
+		first, second := holder(me.Client(), "a"), holder(me.Client(), "b")
+		lost := false
+		scan := second.Client.ScanFunc
+		second.Client.ScanFunc = func(ctx context.Context, prefix string) (keyvalue.Changes, error) {
+			if !lost {
+				lost = true
+				<-ctx.Done()
+				return keyvalue.Changes{}, keyvalue.ErrUnavailable
+			}
+			return scan(ctx, prefix)
+		}
+		first.Step(t.Context())
+		go second.Run(ctx)
+		time.Sleep(time.Second)
+		assert.NilError(t, first.Release(t.Context()))
+		time.Sleep(3 * ttl)
+		assert.Equal(t, held(second), uint64(2))
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/step/keep.go
+++ b/step/keep.go
@@ -38,8 +38,9 @@
 	ErrTooManyParts = errors.New("step is too large")
 )
 
-// maxParts is how many values one transaction may write.
-const maxParts = 32
+// maxParts is how many values a step may have: one transaction writes them under
+// one expectation.
+const maxParts = keyvalue.MaxTransaction - 1
 
 // A part is one value of a step.
 type part struct {
@@ -151,7 +152,7 @@
 		}
 	}
 	for len(keys) > 0 {
-		count := min(len(keys), maxParts)
+		count := min(len(keys), keyvalue.MaxTransaction)
 		if _, err := ke.Client.Transact(ctx, keyvalue.Transaction{Deletes: keys[:count]}); err != nil {
 			return err
 		}
--- a/step/keep_test.go
+++ b/step/keep_test.go
@@ -1,6 +1,7 @@
 package step
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 	"wisteriacroft/keyvalue"
 	"wisteriacroft/lease"
 	"wisteriacroft/peer"
+	"wisteriacroft/runner"
 )
 
 func quiet() *logrus.Entry {
@@ -286,3 +288,57 @@
 	assert.DeepEqual(t, ended, []string{"s"})
 	assert.Equal(t, len(in.steps)+len(in.ended)+len(in.parts)+len(in.scanned), 0)
 }
+
+func TestUpdateFitsOneTransaction(t *testing.T) {
+	// Symptom: from a change of scheduler on, nothing is listed for the rest of the
+	// day, while items go on being placed and weights loaded.
+	// Sequence: a new scheduler has results and text of eight steps to write at
+	// once, and keys of ended steps to remove.
+	// Cause: the write was larger than the service takes, and was repeated as it was.
+	var me keyvalue.Memory
+	ta := tableOf(t, 1, "a", "b", "c", "d", "e", "f", "g", "h", "i", "j")
+	for i := range 10 {
+		st := stepOf(fmt.Sprint("s", i), 2)
+		st.Groups = 1
+		ta.Accept(st, Kept{}, false, begin)
+	}
+	ta.Place(begin)
+	for id := range ta.steps {
+		end(ta, t, id, 0, runner.Complete, events(1, 3, 1), begin)
+		engine, key := keyOf(t, ta, id, 1)
+		hear(ta, engine, runner.ExchangeResponse{Runs: []runner.Progress{{Events: events(1, checkpointEvents, 1), Key: key}}}, begin)
+	}
+	for i := range 20 {
+		ta.garbage = append(ta.garbage, checkpointKey("old", i))
+	}
+	ke := &Keeper{Client: me.Client()}
+	now, listed, saved := begin.Add(time.Minute), 0, map[string]bool{}
+	for range 8 {
+		up := ta.Update(now)
+		tx, err := up.transaction(keyvalue.Expectation{Key: "fence"})
+		assert.NilError(t, err)
+		assert.Assert(t, tx.Size() <= keyvalue.MaxTransaction, "%d entries", tx.Size())
+		done, err := ke.Write(t.Context(), keyvalue.Expectation{Key: "fence"}, up)
+		assert.NilError(t, err)
+		assert.Assert(t, done)
+		ta.Written(up, now)
+		for _, ch := range up.Chunks {
+			listed += len(ch.Results)
+		}
+		for _, cp := range up.Checkpoints {
+			saved[cp.Step] = true
+		}
+		now = now.Add(checkpointEvery)
+	}
+	assert.Equal(t, listed, 10)
+	assert.Equal(t, len(saved), 10)
+	assert.Assert(t, len(ta.garbage) < 20, "some keys are removed beside what is written")
+}
+
+func TestTransactionThatIsTooLarge(t *testing.T) {
+	// What the service would refuse is refused here, with a definite outcome.
+	var me keyvalue.Memory
+	tx := keyvalue.Transaction{Deletes: make([]string, keyvalue.MaxTransaction+1)}
+	_, err := me.Client().Transact(t.Context(), tx)
+	assert.Assert(t, errors.Is(err, keyvalue.ErrTooLarge))
+}
--- a/step/update.go
+++ b/step/update.go
@@ -1,16 +1,37 @@
 package step
 
-import "time"
+import (
+	"time"
 
-// Update returns what is to be written now.
+	"wisteriacroft/keyvalue"
+)
+
+// Update returns what is to be written now, as far as one transaction holds it:
+// results first.
+//
+// An update is repeated as it is until its outcome is known. One that the service
+// will never take would be repeated for good, and nothing would be listed any
+// more: eight steps with results, their checkpoints and old keys were 41 entries.
 func (ta *Table) Update(now time.Time) Update {
-	up := Update{Chunks: ta.Due(now), Checkpoints: ta.Checkpoints(now)}
+	room := keyvalue.MaxTransaction - fenceEntries
+	up := Update{Chunks: ta.Due(now)}
+	room -= entriesEach * len(up.Chunks)
+	cps := ta.Checkpoints(now)
+	up.Checkpoints = cps[:min(len(cps), room/entriesEach)]
+	room -= entriesEach * len(up.Checkpoints)
 	if !up.empty() {
-		up.Deletes = ta.Garbage()
+		garbage := ta.Garbage()
+		up.Deletes = garbage[:min(len(garbage), room)]
 	}
 	return up
 }
 
+// What an update takes of a transaction.
+const (
+	fenceEntries = 1 // the expectation that the lease is held
+	entriesEach  = 2 // of a chunk or a checkpoint: a value, and the expectation that there is none
+)
+
 // Written takes in that an update is applied.
 func (ta *Table) Written(up Update, now time.Time) {
 	ta.Listed(up.Chunks, now)
