--- a/directory/feed.go
+++ b/directory/feed.go
@@ -128,7 +128,13 @@
 }
 
 // takeResponse takes in what the feeder said.
+//
+// It feeds only while the key-value service answers it, so that the service is
+// not away. A process that is fed asks it nothing itself, and would go on taking
+// an outage for one that lasts: what left long after it would stay for 2.5 s more
+// as if it might come back.
 func (fo *Follower) takeResponse(re FeedResponse) {
+	fo.away(fo.Source.EndpointPrefix, nil)
 	if re.Fresh {
 		fo.Directory.replaceEndpoints(re.Endpoints)
 	}
--- a/directory/feed_test.go
+++ b/directory/feed_test.go
@@ -103,6 +103,26 @@
 	})
 }
 
+func TestFedProcessKnowsOfTheServicesReturn(t *testing.T) {
+	// Symptom: an endpoint that has left gets requests for 2.5 s more.
+	// Sequence: the key-value service is away and returns, and the process is fed
+	// from then on; a minute later the feeder is gone, and the process reads that an
+	// endpoint has left.
+	// Cause: the process had not heard of the service itself since the outage.
+	synctest.Test(t, func(t *testing.T) {
+		logger := logrus.New()
+		logger.SetLevel(logrus.PanicLevel)
+		fo := &Follower{Directory: withEndpoint(), Log: logrus.NewEntry(logger), Source: source()}
+		fo.away("servers/", keyvalue.ErrUnavailable)
+		time.Sleep(4 * time.Second)
+		fo.takeResponse(FeedResponse{})
+		time.Sleep(time.Minute)
+		fo.away("servers/", nil)
+		fo.applyEndpoints(nil, true)
+		assert.Assert(t, !known(fo.Directory, "a"))
+	})
+}
+
 func TestOldKnowledgeIsNotFed(t *testing.T) {
 	// Symptom: entries that are well send requests to an endpoint that has left.
 	// Sequence: the feeder loses its path to the key-value service, and entries
