--- a/step/place.go
+++ b/step/place.go
@@ -19,11 +19,6 @@
 	// expectedPart is the part of its token bound that an item without a hint
 	// is expected to use.
 	expectedPart = 0.25
-	// quietAfter is after how long without an answer of its attendant an engine
-	// gets items only if no other can: two exchanges that are missing. By the replay
-	// of 24 seeds, 0.669 of the groups are in time while two engines of twelve are
-	// silent for 5 s, and 0.657 without it.
-	quietAfter = 350 * time.Millisecond
 	// againAfter is how long an item waits before it goes to the engine that it
 	// was just taken from.
 	againAfter = 500 * time.Millisecond
@@ -242,7 +237,7 @@
 	if now.Sub(en.failed) < failedFor {
 		score -= float64(en.slots)
 	}
-	if en.slow(now) || now.Sub(en.heardAt) > quietAfter {
+	if en.slow(now) {
 		score -= float64(2 * en.slots)
 	}
 	return score - ta.paceCost(en, ir) - en.crowding(ir)
