--- a/forward/replay_test.go
+++ b/forward/replay_test.go
@@ -27,10 +27,9 @@
 
 // A simPlace is a call at an endpoint: in its queue, or served.
 type simPlace struct {
-	call  *simCall
-	sent  time.Duration
-	left  time.Duration
-	taken bool
+	call *simCall
+	sent time.Duration
+	left time.Duration
 }
 
 // A simDesk is a plain endpoint with places and a queue.
