lease: following a name's record is the scheduler's choice

Cause: standing by by following was made every holder's way; I had run the tests of the packages that I changed, not all. Change: a field of the holder, set by the scheduler alone. Renewals tick again as they did, also while the service is slow.

--- a/cmd/platformschedulercmd.go
+++ b/cmd/platformschedulercmd.go
@@ -40,7 +40,7 @@
 	sc := &step.Scheduler{
 		CallFunc: fw.Call, Directory: ho.directory,
 		Holder: &lease.Holder{
-			Client: ho.store, Log: ho.log, Name: step.LeaseName, Owner: ho.settings.PeerAddress, TTL: leaseTime,
+			Client: ho.store, Follow: true, Log: ho.log, Name: step.LeaseName, Owner: ho.settings.PeerAddress, TTL: leaseTime,
 		},
 		Keep: ho.settings.KeepResults, Keeper: &step.Keeper{Client: ho.store}, Log: ho.log, Metrics: ho.metrics,
 		PeerPort: ho.settings.PeerPort, Pool: ho.pool,
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -47,6 +47,9 @@
 // fields, then call Run, or Step at least each third of TTL.
 type Holder struct {
 	Client *keyvalue.Client
+	// Follow makes Run follow the name's record while another holds it, instead of
+	// asking for it each third of TTL. The client must have FollowFunc and ScanFunc.
+	Follow bool
 	Log    *logrus.Entry // optional
 	Name   string
 	Owner  string // address that others reach the holder by
@@ -144,12 +147,21 @@
 		return
 	case <-time.After(ho.phase()):
 	}
-	for ctx.Err() == nil {
+	ti := time.NewTicker(ho.TTL / renewals)
+	defer ti.Stop()
+	for {
 		ho.Step(ctx)
-		if rec := ho.other(); rec.ID != "" {
+		if rec := ho.other(); ho.Follow && rec.ID != "" {
 			ho.standBy(ctx, rec)
-		} else {
-			pause(ctx, ho.TTL/renewals)
+			if ctx.Err() != nil {
+				return
+			}
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ti.C:
 		}
 	}
 }
--- a/lease/holder_test.go
+++ b/lease/holder_test.go
@@ -195,6 +195,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		first, second := holder(me.Client(), "a"), holder(me.Client(), "b")
 		first.TTL, second.TTL = 2*time.Second, 2*time.Second
+		second.Follow = true
 		first.Step(t.Context())
 		go second.Run(ctx)
 		for range 120 {
@@ -221,6 +222,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		first, second := holder(me.Client(), "a"), holder(me.Client(), "b")
 		first.Step(t.Context())
+		second.Follow = true
 		asked := 0
 		second.SuspectFunc = func(owner string) bool {
 			asked++
@@ -243,6 +245,7 @@
 		var me keyvalue.Memory
 		ctx, cancel := context.WithCancel(t.Context())
 		first, second := holder(me.Client(), "a"), holder(me.Client(), "b")
+		second.Follow = true
 		lost := false
 		scan := second.Client.ScanFunc
 		second.Client.ScanFunc = func(ctx context.Context, prefix string) (keyvalue.Changes, error) {
