--- a/runner/runner.go
+++ b/runner/runner.go
@@ -329,8 +329,8 @@
 		ReportAge: time.Since(rn.reportAt),
 	}
 	re.Report.Pace, re.Report.PaceGaps = rn.pacer.median(time.Now())
-	// Each run in each response made four fifths of the bytes between processes:
-	// runs that have ended stay until they are listed.
+	// Runs that have ended stay until they are listed, and need not be spoken of ten
+	// times a second meanwhile.
 	size := 0
 	for _, ru := range rn.runs {
 		if ru.state == Running {
