--- a/cmd/platformhost.go
+++ b/cmd/platformhost.go
@@ -103,10 +103,12 @@
 // follower returns what keeps the host's directory up to date. It reads all
 // itself while direct is true.
 func (ho *host) follower(direct func() bool) *directory.Follower {
-	return &directory.Follower{
+	fo := &directory.Follower{
 		Client: ho.store, DirectFunc: direct, Directory: ho.directory, Feeder: ho.finder, Log: ho.log,
 		Pool: ho.pool, Source: platform.Source(),
 	}
+	ho.metrics.NewGauge("wisteriacroft_unusable_entries", func() float64 { return float64(fo.Unusable()) })
+	return fo
 }
 
 // reload reads the settings again at each SIGHUP. Addresses stay as they were
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -28,6 +28,7 @@
 	mu            sync.RWMutex
 	configuration *Configuration
 	endpoints     map[string]Endpoint
+	aside         map[string]Endpoint  // lost their addresses before the configuration was known
 	missing       map[string]time.Time // endpoints to drop, and when
 	versions      map[string]uint64    // newest version named for a model
 	synced        bool                 // endpoints have been read once
@@ -58,6 +59,10 @@
 		return false
 	}
 	di.configuration = co
+	for _, en := range di.aside {
+		di.place(en)
+	}
+	di.aside = nil
 	return true
 }
 
@@ -102,26 +107,40 @@
 // An endpoint that crashed has its entry for some seconds more, beside that of its
 // successor at the same address. Taken for two, the successor got twice as many
 // items as it has places after a loss of power, and refused half of them. The one
-// that wrote last is the one that lives.
+// that started last is the one that lives.
+//
+// An endpoint that starts again under its ID has an entry of its former start for
+// as long. Taken for news when it comes late, such an entry would bring back a
+// drain, or an address, of a process that is gone.
 func (di *Directory) SetEndpoint(en Endpoint) (replaced string) {
 	di.mu.Lock()
 	defer di.mu.Unlock()
+	return di.place(en)
+}
+
+// place adds or replaces an endpoint, unless what is known is newer.
+func (di *Directory) place(en Endpoint) (replaced string) {
+	old, known := di.endpoints[en.ID]
+	if known && old.Incarnation.Supersedes(en.Incarnation) {
+		return ""
+	}
+	en.Incarnation = max(en.Incarnation, old.Incarnation)
 	for id, other := range di.endpoints {
-		if id == en.ID || other.Address != en.Address || en.Address == "" {
+		if id == en.ID || other.Address != en.Address || en.Address == "" || !di.rivals(en, other) {
 			continue
 		}
-		if other.Revision > en.Revision {
+		if !en.outlives(other) && di.rivals(other, en) {
+			di.putAside(en)
 			return ""
 		}
 		replaced = id
-		delete(di.endpoints, id)
-		delete(di.missing, id)
-		di.generation++
+		di.forget(id)
+		di.putAside(other)
 	}
 	if di.endpoints == nil {
 		di.endpoints = map[string]Endpoint{}
 	}
-	if old, ok := di.endpoints[en.ID]; !ok || old.differs(en) {
+	if !known || old.differs(en) {
 		di.generation++
 	}
 	di.endpoints[en.ID] = en
@@ -129,15 +148,56 @@
 	return replaced
 }
 
+// rivals reports whether an endpoint may take another one's address: as another
+// start of the same service, or of one that the configuration names.
+//
+// Entries may come from other writers. One of a service that no one has named
+// took the address of an endpoint that serves, which then got nothing.
+func (di *Directory) rivals(en, other Endpoint) bool {
+	if di.configuration == nil || en.Service == other.Service {
+		return true
+	}
+	_, named := di.configuration.Service(en.Service)
+	return named
+}
+
+// putAside keeps an endpoint that lost its address before it was known which
+// services there are.
+func (di *Directory) putAside(en Endpoint) {
+	if di.configuration != nil {
+		return
+	}
+	if di.aside == nil {
+		di.aside = map[string]Endpoint{}
+	}
+	di.aside[en.ID] = en
+}
+
+// forget drops an endpoint.
+func (di *Directory) forget(id string) {
+	if _, ok := di.endpoints[id]; ok {
+		di.generation++
+	}
+	delete(di.endpoints, id)
+	delete(di.missing, id)
+	delete(di.aside, id)
+}
+
 // replaceEndpoints replaces all endpoints by those that another process knows.
 // It has waited for those that went missing in an outage.
 func (di *Directory) replaceEndpoints(ens []Endpoint) {
 	di.mu.Lock()
 	defer di.mu.Unlock()
-	di.endpoints = make(map[string]Endpoint, len(ens))
+	fed := make(map[string]Endpoint, len(ens))
 	for _, en := range ens {
-		di.endpoints[en.ID] = en
+		old := di.endpoints[en.ID]
+		if old.Incarnation.Supersedes(en.Incarnation) {
+			en = old // the feeder has not heard of its start yet
+		}
+		en.Incarnation = max(en.Incarnation, old.Incarnation)
+		fed[en.ID] = en
 	}
+	di.endpoints = fed
 	di.missing = nil
 	di.synced = true
 	di.generation++
@@ -190,8 +250,7 @@
 	away := !di.awaySince.IsZero() && now.Sub(di.awaySince) >= leastOutage
 	back := !di.backAt.IsZero() && now.Sub(di.backAt) <= returnTime
 	if !away && !back {
-		delete(di.endpoints, id)
-		di.generation++
+		di.forget(id)
 		return
 	}
 	if di.missing == nil {
@@ -225,9 +284,7 @@
 	defer di.mu.Unlock()
 	for id, at := range di.missing {
 		if now.After(at) && di.awaySince.IsZero() && now.Sub(di.backAt) > returnTime {
-			delete(di.endpoints, id)
-			delete(di.missing, id)
-			di.generation++
+			di.forget(id)
 		}
 	}
 }
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -71,6 +71,7 @@
 	OperatorFunc func(it keyvalue.Item)
 
 	lastFeeder string // address of the feeder that was known last
+	unusable   entries
 }
 
 // Run follows until ctx ends.
@@ -232,19 +233,22 @@
 func (fo *Follower) applyEndpoints(its []keyvalue.Item, whole bool) {
 	var ens []Endpoint
 	now := time.Now()
+	if whole {
+		fo.unusable.keepOnly(its)
+	}
 	for _, it := range its {
 		id := strings.TrimPrefix(it.Key, fo.Source.EndpointPrefix)
 		if it.Value == nil {
+			fo.unusable.remove(it.Key)
 			fo.Directory.RemoveEndpoint(id, now)
 			fo.Log.WithFields(logrus.Fields{"endpoint": id, revisionField: it.Version}).Info("endpoint's entry removed")
 			continue
 		}
-		en, err := fo.Source.DecodeEndpointFunc(id, it.Value)
-		if err != nil {
-			fo.Log.WithError(err).WithField("endpoint", id).Error("endpoint's entry does not decode")
+		en, err := fo.decodeEndpoint(id, it)
+		if fo.noteUnusable(it, err) {
+			fo.Directory.RemoveEndpoint(id, now)
 			continue
 		}
-		en.Revision = it.Version
 		fo.logEndpoint(en)
 		if old := fo.Directory.SetEndpoint(en); old != "" {
 			fo.Log.WithFields(logrus.Fields{"by": en.ID, "endpoint": old, revisionField: it.Version}).Info("endpoint was replaced")
@@ -256,6 +260,16 @@
 	}
 }
 
+// decodeEndpoint returns the endpoint that an entry names.
+func (fo *Follower) decodeEndpoint(id string, it keyvalue.Item) (Endpoint, error) {
+	if len(it.Value) > maxEntry {
+		return Endpoint{}, errors.Wrapf(errLargeEntry, "%d bytes", len(it.Value))
+	}
+	en, err := fo.Source.DecodeEndpointFunc(id, it.Value)
+	en.Revision = it.Version
+	return en, err
+}
+
 // logEndpoint writes a line if an endpoint is new or begins to leave.
 func (fo *Follower) logEndpoint(en Endpoint) {
 	old, known := fo.Directory.Endpoint(en.ID)
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"wisteriacroft/directory"
+	"wisteriacroft/incarnation"
 	"wisteriacroft/roundtrip"
 )
 
@@ -87,18 +88,37 @@
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 	if fo.clients == nil {
-		fo.clients = map[string]roundtrip.Client{}
+		fo.clients = map[string]endpointClient{}
 	}
-	cl, ok := fo.clients[en.ID]
-	if !ok {
-		cl = roundtrip.New("http://"+en.Address, NewHTTPClient(), errBroken)
-		cl.NotSent = errNotSent
-		cl.IDHeader = fo.Headers.RequestID
-		fo.clients[en.ID] = cl
+	ec, ok := fo.clients[en.ID]
+	if ok && ec.reaches(en) {
+		return ec.client
 	}
+	if ok {
+		ec.client.HTTP.CloseIdleConnections()
+	}
+	cl := roundtrip.New("http://"+en.Address, NewHTTPClient(), errBroken)
+	cl.NotSent = errNotSent
+	cl.IDHeader = fo.Headers.RequestID
+	fo.clients[en.ID] = endpointClient{address: en.Address, born: en.Incarnation, client: cl}
 	return cl
 }
 
+// An endpointClient is a client with connections to one start of an endpoint.
+type endpointClient struct {
+	address string
+	born    incarnation.Number
+	client  roundtrip.Client
+}
+
+// reaches reports whether the connections lead to the endpoint as it is now.
+//
+// One that has started again under its ID resets what is sent on connections to
+// its former start, which cost each entry an attempt a connection.
+func (ec endpointClient) reaches(en directory.Endpoint) bool {
+	return ec.address == en.Address && !en.Incarnation.Supersedes(ec.born)
+}
+
 // Expire closes what concerns endpoints that are gone.
 func (fo *Forwarder) Expire() {
 	exists := func(id string) bool {
@@ -108,9 +128,9 @@
 	fo.table.Forget(exists)
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	for id, cl := range fo.clients {
+	for id, ec := range fo.clients {
 		if !exists(id) {
-			cl.HTTP.CloseIdleConnections()
+			ec.client.HTTP.CloseIdleConnections()
 			delete(fo.clients, id)
 		}
 	}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -14,7 +14,6 @@
 
 	"wisteriacroft/directory"
 	"wisteriacroft/retry"
-	"wisteriacroft/roundtrip"
 )
 
 // Limits of the path of a live request.
@@ -50,7 +49,7 @@
 	// Budget bounds the attempts beyond the first.
 	Budget *retry.Budget
 
-	clients map[string]roundtrip.Client
+	clients map[string]endpointClient // by endpoint
 	mu      sync.Mutex
 	table   Table
 }
--- a/forward/table.go
+++ b/forward/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wisteriacroft/directory"
+	"wisteriacroft/incarnation"
 )
 
 // Weights of placing live requests.
@@ -32,6 +33,7 @@
 type row struct {
 	failures int // since the last answer
 	inFlight int
+	born     incarnation.Number // the start that the rest is known of
 	latency  time.Duration
 	load     load
 	loadAt   time.Time
@@ -66,6 +68,17 @@
 	return ro
 }
 
+// rowOf returns an endpoint's row, without what is known of an earlier start: one
+// that crashed and came back under its ID would be passed over for seconds.
+func (ta *Table) rowOf(en directory.Endpoint) *row {
+	ro := ta.row(en.ID)
+	if en.Incarnation.Supersedes(ro.born) {
+		*ro = row{inFlight: ro.inFlight, latency: firstLatency}
+	}
+	ro.born = max(ro.born, en.Incarnation)
+	return ro
+}
+
 // Pick chooses the endpoint for the next attempt among those given and not yet
 // tried, and counts the request as in flight there until Done.
 //
@@ -87,7 +100,7 @@
 		if en.Leaving || tried[en.ID] {
 			continue
 		}
-		cost := ta.row(en.ID).cost(en, now)
+		cost := ta.rowOf(en).cost(en, now)
 		if en.Domain == domain {
 			cost /= sameDomain
 		}
--- a/runner/message.go
+++ b/runner/message.go
@@ -4,7 +4,11 @@
 // engine orders, so that no two processes can.
 package runner
 
-import "time"
+import (
+	"time"
+
+	"wisteriacroft/incarnation"
+)
 
 // ExchangeMethod is the one call that the scheduler makes to an attendant.
 const ExchangeMethod = "runner.Exchange"
@@ -99,14 +103,15 @@
 
 // A Report is what an engine says of itself.
 type Report struct {
-	Active   int
-	Busy     bool          // an order is under way
-	Pace     time.Duration // median time between two events of a run of late
-	PaceGaps int           // that the median is of
-	Queued   int
-	Sequence uint64 // orders that it has taken
-	Tokens   int    // memory that can't be freed, in tokens
-	Versions map[string]uint64
+	Active      int
+	Busy        bool               // an order is under way
+	Incarnation incarnation.Number // the start of the engine that says it
+	Pace        time.Duration      // median time between two events of a run of late
+	PaceGaps    int                // that the median is of
+	Queued      int
+	Sequence    uint64 // orders that it has taken
+	Tokens      int    // memory that can't be freed, in tokens
+	Versions    map[string]uint64
 }
 
 // An ExchangeResponse is what an attendant holds.
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -35,6 +35,13 @@
 	return true
 }
 
+// restart takes in that the engine has started again: it holds nothing of what
+// an earlier start was told.
+//
+// The order that is wanted counted as given for its whole bound, in which the
+// engine loaded nothing.
+func (os *orders) restart() { os.done, os.givenAt = Order{}, time.Time{} }
+
 // underWay returns the version that is wanted, or 0.
 func (os *orders) underWay() uint64 { return os.order.Version }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -11,6 +11,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
+
+	"wisteriacroft/incarnation"
 )
 
 // Bounds of an attendant's work.
@@ -41,6 +43,7 @@
 
 // A run is one run of an item.
 type run struct {
+	begun    time.Time
 	cancel   context.CancelFunc
 	detail   string
 	ended    time.Time
@@ -133,13 +136,50 @@
 	defer rn.mu.Unlock()
 	was := rn.reachable()
 	if err == nil {
-		rn.report, rn.reportAt = re, time.Now()
+		rn.takeReport(re)
 	}
 	if is := rn.reachable(); is != was {
 		rn.Log.WithFields(logrus.Fields{"dependency": "engine", "error": err, "reachable": is}).Warn("dependency changed")
 	}
 }
 
+// takeReport takes in what the engine says of itself.
+//
+// An engine that crashes may come back under its ID. It holds no order, runs
+// nothing and its pace is not known. A report of its former start that comes late
+// says nothing of it: taken for news, an order would name a sequence that the
+// engine no longer has.
+func (rn *Runner) takeReport(re Report) {
+	born := rn.report.Incarnation
+	if born.Supersedes(re.Incarnation) {
+		rn.Log.WithFields(logrus.Fields{"born": int64(re.Incarnation), "newest": int64(born)}).Warn("report of an earlier start ignored")
+		return
+	}
+	if re.Incarnation.Supersedes(born) {
+		rn.restarted(re.Incarnation)
+	}
+	re.Incarnation = max(re.Incarnation, born)
+	rn.report, rn.reportAt = re, time.Now()
+}
+
+// restarted drops what was known of the engine's former start, and breaks the runs
+// that it was given: those that were begun before it last reported.
+func (rn *Runner) restarted(born incarnation.Number) {
+	broken := 0
+	for _, ru := range rn.runs {
+		if ru.state == Running && ru.begun.Before(rn.reportAt) {
+			ru.cancel()
+			broken++
+		}
+	}
+	rn.engine = ""
+	rn.orders.restart()
+	rn.pacer = pacer{}
+	rn.Log.WithFields(logrus.Fields{
+		"born": int64(born), "runs": broken, "report-ms": time.Since(rn.reportAt).Milliseconds(),
+	}).Warn("engine has started again")
+}
+
 func (rn *Runner) reachable() bool { return time.Since(rn.reportAt) < reachableFor }
 
 // Exchange takes what the scheduler wants done and returns what it lacks.
@@ -247,7 +287,7 @@
 	}
 	rn.dropOldest()
 	ctx, cancel := rn.begin()
-	ru := &run{cancel: cancel, endpoint: la.Endpoint, events: slices.Clone(la.Prior), key: la.Key, seen: len(la.Prior)}
+	ru := &run{begun: time.Now(), cancel: cancel, endpoint: la.Endpoint, events: slices.Clone(la.Prior), key: la.Key, seen: len(la.Prior)}
 	rn.runs[la.Key] = ru
 	go rn.execute(ctx, ru, la)
 }
@@ -279,8 +319,11 @@
 	}
 	rn.mu.Lock()
 	defer rn.mu.Unlock()
-	if st.Engine != "" {
+	switch {
+	case st.Engine != "":
 		rn.engine = st.Engine
+	case st.State == Complete:
+		rn.engine = la.Endpoint
 	}
 	if ru.stopped && st.State != Complete {
 		st.State = Stopped
--- a/step/engines.go
+++ b/step/engines.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"wisteriacroft/incarnation"
 	"wisteriacroft/runner"
 )
 
@@ -22,13 +23,14 @@
 
 // An EngineInfo is an engine as the directory knows it.
 type EngineInfo struct {
-	Address  string // of the attendant beside it
-	ID       string
-	Leaving  bool
-	Service  string
-	Slots    int
-	Tokens   int // memory
-	Versions map[string]uint64
+	Address     string // of the attendant beside it
+	ID          string
+	Incarnation incarnation.Number // the start that its entry is of
+	Leaving     bool
+	Service     string
+	Slots       int
+	Tokens      int // memory
+	Versions    map[string]uint64
 }
 
 // SetEngines takes the engines that are there in, and drops the others with
@@ -50,9 +52,7 @@
 		en.address, en.service = in.Address, in.Service
 		en.slots, en.tokens = in.Slots, in.Tokens
 		en.leaving = in.Leaving
-		for model, version := range in.Versions {
-			en.versions[model] = max(en.versions[model], version)
-		}
+		ta.takeEntry(en, in)
 	}
 	for id, en := range ta.engines {
 		if !present[id] {
@@ -66,6 +66,35 @@
 	}
 }
 
+// takeEntry takes in what an engine's entry says of its start and its versions.
+// What the engine itself reports is newer, unless the entry is of a later start.
+func (ta *Table) takeEntry(en *engineRow, in EngineInfo) {
+	switch {
+	case in.Incarnation.Supersedes(en.born):
+		ta.reborn(en, in.Incarnation)
+	case en.born.Supersedes(in.Incarnation), !en.heardAt.IsZero():
+		return
+	}
+	en.born = max(en.born, in.Incarnation)
+	for model, version := range in.Versions {
+		en.versions[model] = max(en.versions[model], version)
+	}
+}
+
+// reborn drops what was believed of an engine that has started again under its
+// ID. What its attendant was told still holds, as that has not.
+//
+// Taken for the former start, it counts as slow or as replaced though it is
+// neither, and stays without work for seconds or for good.
+func (ta *Table) reborn(en *engineRow, born incarnation.Number) {
+	ta.log("engine started again", map[string]any{
+		"born": int64(born), engineField: en.id, "former": int64(en.born), "items": len(en.items), "was-slow": !en.slowAt.IsZero(),
+	})
+	en.born, en.gone, en.base, en.foreign = born, false, 0, 0
+	en.failed, en.slowAt, en.slowerAt = time.Time{}, time.Time{}, time.Time{}
+	en.report, en.versions = runner.Report{}, map[string]uint64{}
+}
+
 // drop lets an engine's runs go on elsewhere.
 func (ta *Table) drop(en *engineRow, why string, now time.Time) {
 	for _, ir := range en.items {
@@ -137,10 +166,8 @@
 	if en.boot != "" && en.boot != re.Boot {
 		ta.drop(en, "attendant has started again", now)
 	}
-	en.boot, en.heardAt, en.report, en.sick = re.Boot, now, re.Report, !re.Reachable
-	for model, version := range re.Report.Versions {
-		en.versions[model] = version
-	}
+	en.boot = re.Boot
+	ta.takeReport(en, re, now)
 	for _, key := range rq.Forget {
 		delete(en.forget, key)
 	}
@@ -155,6 +182,23 @@
 	ta.heardOrder(en, rq, re)
 }
 
+// takeReport takes in what an engine said to its attendant. A report of a former
+// start says nothing of the engine that is there now.
+func (ta *Table) takeReport(en *engineRow, re runner.ExchangeResponse, now time.Time) {
+	en.heardAt = now
+	if en.born.Supersedes(re.Report.Incarnation) {
+		return
+	}
+	if re.Report.Incarnation.Supersedes(en.born) {
+		ta.reborn(en, re.Report.Incarnation)
+	}
+	en.born = max(en.born, re.Report.Incarnation)
+	en.report, en.sick = re.Report, !re.Reachable
+	for model, version := range re.Report.Versions {
+		en.versions[model] = version
+	}
+}
+
 // said takes in what an attendant has been told of runs.
 func (en *engineRow) said(seen []runner.Seen) {
 	for _, se := range seen {
--- a/step/exchange.go
+++ b/step/exchange.go
@@ -25,6 +25,15 @@
 	return en.order != nil && en.order.Version > 0 && !en.ordered
 }
 
+// attendant returns the address of the attendant beside an engine: an engine may
+// start again under its ID elsewhere.
+func (ta *Table) attendant(id string) string {
+	if en, ok := ta.engines[id]; ok {
+		return en.address
+	}
+	return ""
+}
+
 func notify(kick chan struct{}) {
 	select {
 	case kick <- struct{}{}:
@@ -34,12 +43,12 @@
 
 // exchangeWith makes one exchange after the other with an attendant, until its
 // engine is gone or the term ends.
-func (sc *Scheduler) exchangeWith(te *term, id, address string, kick chan struct{}) {
+func (sc *Scheduler) exchangeWith(te *term, id string, kick chan struct{}) {
 	failed := false
 	for {
 		sc.mu.Lock()
 		rq, ok := te.table.Request(id)
-		open := te.table.Open()
+		open, address := te.table.Open(), te.table.attendant(id)
 		if !ok || sc.term != te {
 			delete(te.exchange, id)
 			sc.mu.Unlock()
--- /dev/null
+++ b/step/restart_test.go
@@ -0,0 +1,98 @@
+package step
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriacroft/incarnation"
+	"wisteriacroft/runner"
+)
+
+// reportOf returns an attendant's answer with a report of an engine's start.
+func reportOf(born incarnation.Number, version uint64) runner.ExchangeResponse {
+	return runner.ExchangeResponse{Report: runner.Report{Incarnation: born, Versions: map[string]uint64{"model": version}}}
+}
+
+// enter takes an engine's entry in.
+func enter(ta *Table, born incarnation.Number, version uint64) {
+	ta.SetEngines([]EngineInfo{{
+		ID: "a", Incarnation: born, Service: "service", Slots: 2, Versions: map[string]uint64{"model": version},
+	}}, begin)
+}
+
+func TestEngineIsBornAgain(t *testing.T) {
+	// Symptom: an engine that started again under its ID gets no work for seconds, or
+	// for good; or items are sent for a version that it does not hold.
+	// Sequence: an engine is slow, failed a run and was replaced at its address; it
+	// starts again under its ID. Its entry and its attendant's report tell of it, in
+	// any order, and copies of older ones come after.
+	// Cause: what was believed went with the ID.
+	for _, tc := range []struct {
+		name string
+		tell func(ta *Table)
+	}{
+		{"the report tells first", func(ta *Table) { hear(ta, "a", reportOf(20, 2), begin) }},
+		{"the entry tells first", func(ta *Table) { enter(ta, 20, 2) }},
+		{"an old report comes after", func(ta *Table) {
+			enter(ta, 20, 2)
+			hear(ta, "a", reportOf(10, 5), begin)
+		}},
+		{"an old entry comes after", func(ta *Table) {
+			hear(ta, "a", reportOf(20, 2), begin)
+			enter(ta, 10, 5)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ta := NewTable(1, nil)
+			enter(ta, 10, 5)
+			hear(ta, "a", reportOf(10, 5), begin)
+			en := ta.engines["a"]
+			en.gone, en.failed, en.slowAt, en.base = true, begin, begin, time.Second
+			tc.tell(ta)
+			assert.Equal(t, en.born, incarnation.Number(20))
+			assert.Assert(t, !en.gone && !en.slow(begin) && en.failed.IsZero() && en.base == 0)
+			assert.Equal(t, en.versions["model"], uint64(2))
+		})
+	}
+}
+
+func TestStartThatIsNotKnown(t *testing.T) {
+	// A report or entry without a start changes nothing of what is believed.
+	ta := NewTable(1, nil)
+	enter(ta, 10, 5)
+	hear(ta, "a", reportOf(10, 5), begin)
+	en := ta.engines["a"]
+	en.slowAt = begin
+	hear(ta, "a", reportOf(0, 6), begin)
+	enter(ta, 0, 5)
+	assert.Assert(t, en.slow(begin))
+	assert.Equal(t, en.born, incarnation.Number(10))
+	assert.Equal(t, en.versions["model"], uint64(6), "what the engine says counts, not its entry")
+}
+
+func TestRunsOfAFormerStart(t *testing.T) {
+	// Symptom: an item is never whole.
+	// Sequence: an engine starts again under its ID; its entry tells of it first, and
+	// its attendant falls silent.
+	// Cause: an engine that was never heard of does not count as silent.
+	ta := NewTable(1, nil)
+	enter(ta, 10, 1)
+	hear(ta, "a", reportOf(10, 1), begin)
+	ta.Accept(stepOf("s", 1), Kept{}, false, begin)
+	ta.Place(begin)
+	assert.Equal(t, ta.steps["s"].items[0].state, running)
+	enter(ta, 20, 1)
+	ta.Silence(begin.Add(silentAfter + time.Millisecond))
+	assert.Equal(t, ta.steps["s"].items[0].state, waiting)
+}
+
+func TestEngineMovesUnderItsID(t *testing.T) {
+	// An engine that starts again elsewhere is asked there.
+	ta := NewTable(1, nil)
+	ta.SetEngines([]EngineInfo{{Address: "one", ID: "a", Incarnation: 10}}, begin)
+	ta.SetEngines([]EngineInfo{{Address: "two", ID: "a", Incarnation: 20}}, begin)
+	assert.Equal(t, ta.attendant("a"), "two")
+	assert.Equal(t, ta.attendant("b"), "")
+}
--- a/step/scheduler.go
+++ b/step/scheduler.go
@@ -236,7 +236,7 @@
 	for _, in := range infos {
 		if _, ok := te.exchange[in.ID]; !ok {
 			te.exchange[in.ID] = make(chan struct{}, 1)
-			go sc.exchangeWith(te, in.ID, in.Address, te.exchange[in.ID])
+			go sc.exchangeWith(te, in.ID, te.exchange[in.ID])
 		}
 	}
 }
@@ -252,7 +252,7 @@
 
 func (sc *Scheduler) engineInfo(en directory.Endpoint, se directory.Service) EngineInfo {
 	in := EngineInfo{
-		Address: sc.attendantOf(en), ID: en.ID, Leaving: en.Leaving,
+		Address: sc.attendantOf(en), ID: en.ID, Incarnation: en.Incarnation, Leaving: en.Leaving,
 		Service: en.Service, Slots: en.Slots, Tokens: se.Tokens, Versions: map[string]uint64{},
 	}
 	if in.Slots == 0 {
--- a/step/table.go
+++ b/step/table.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"wisteriacroft/incarnation"
 	"wisteriacroft/runner"
 )
 
@@ -83,6 +84,7 @@
 	id       string
 	address  string // of the attendant
 	boot     string
+	born     incarnation.Number // the start that the rest is known of
 	forget   map[runner.Key]bool
 	foreign  int  // requests of others that it runs
 	gone     bool // another answers at its address
