Results that left memory are read by the chunk, once for all who wait

For 5 s the scheduler answered nothing (log: no line from 67.33 to 72.07 s, 91 reads timed out). Ruled out: the step's keys being gone (they are read again at 72 s), the store. Change: a scheduler knows how many results each chunk holds, fetches the one that an answer needs, and shares a fetch under way.

--- a/step/keep.go
+++ b/step/keep.go
@@ -122,6 +122,16 @@
 	return chunks, nil
 }
 
+// Chunk returns one chunk of a step's results.
+func (ke *Keeper) Chunk(ctx context.Context, id string, number int) ([]Result, error) {
+	it, err := ke.Client.Get(ctx, listedKey(id, number))
+	if err != nil {
+		return nil, err
+	}
+	var res []Result
+	return res, errors.Wrapf(cbor.Unmarshal(it.Value, &res), "decode %s", it.Key)
+}
+
 // Read returns a step's results from what is kept.
 func (ke *Keeper) Read(ctx context.Context, rq ReadRequest) (Listing, error) {
 	st, err := ke.Load(ctx, rq.ID)
--- a/step/listing.go
+++ b/step/listing.go
@@ -111,6 +111,7 @@
 		}
 		sr.results = append(sr.results, ch.Results...)
 		sr.chunks = ch.Number + 1
+		sr.counts = append(sr.counts, len(ch.Results))
 		sr.listedAt = now
 		positions := map[string]bool{}
 		for _, re := range ch.Results {
--- a/step/read.go
+++ b/step/read.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 )
 
@@ -33,7 +31,7 @@
 			sc.mu.Unlock()
 			return sc.Keeper.Read(ctx, rq) // not held any longer, or never accepted
 		}
-		if sr.ended && len(sr.results) == 0 && !sr.loaded {
+		if sr.archived() {
 			sc.mu.Unlock()
 			return sc.readEnded(ctx, te, sr, rq)
 		}
@@ -57,26 +55,6 @@
 	}
 }
 
-// readEnded reads the results of a step that this scheduler does not hold: it
-// ended before the scheduler's term, or its results were dropped from memory.
-//
-// The answer is what was read, not what the table holds then: the term may have
-// ended meanwhile, and the table of a scheduler that retires takes nothing in. A
-// reader was told that there was nothing where it had read results before.
-func (sc *Scheduler) readEnded(ctx context.Context, te *term, sr *stepRow, rq ReadRequest) (Listing, error) {
-	chunks, err := sc.Keeper.Listed(ctx, rq.ID)
-	if err != nil {
-		return Listing{}, errors.Wrapf(ErrUnsure, "%v", err)
-	}
-	results := slices.Concat(chunks...)
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	if sc.term == te && !sr.loaded {
-		sr.loaded, sr.results = true, results
-	}
-	return page(results, rq.After, len(sr.step.Items)), nil
-}
-
 // maxListing bounds the text of one answer, in bytes: an answer may have 1 MB,
 // and its encoding takes some more.
 const maxListing = 800 << 10
--- a/step/scheduler.go
+++ b/step/scheduler.go
@@ -79,6 +79,7 @@
 	PeerPort  int // of all attendants
 	Pool      *peer.Pool
 
+	archive      archive
 	cancelHolder context.CancelFunc
 	mu           sync.Mutex
 	replacedAt   time.Time // a term ended before this process did
--- a/step/table.go
+++ b/step/table.go
@@ -71,6 +71,8 @@
 	groups      map[string]*groupRow
 	items       []*itemRow
 	chunks      int       // that are listed
+	counted     bool      // counts are known
+	counts      []int     // results of each chunk
 	checkpoints int       // that are kept
 	listedAt    time.Time // of the last results
 	results     []Result
@@ -192,10 +194,10 @@
 			positions[re.Item] = true
 		}
 	}
-	sr.chunks = len(ke.Listed)
 	if ended {
 		return
 	}
+	sr.count(ke.Listed)
 	for i := range st.Items {
 		it := &st.Items[i]
 		ir := &itemRow{item: it, known: ta.lengths[it.ID].events, since: now, step: sr}
