listing: when results are listed is a decision of its own

Cause: a step of the large fleet's long items ended 0.8 to 1.3 s after its last result: results were listed each 2 s whatever the trainer did, in one chunk a write, and a read that is answered with a part looks again half a second later. Change: package listing decides: all at once, in chunks of one write, when the trainer waits for no more; else when a read would end empty anyway, for enough text or groups due soon; once more for a fifth of the groups before they are late; nothing when the end is near, or while the trainer is between two reads. The writer is told of the end. The replay's trainers read as the logs show, with answers of 0.8 MB, and train on one step after the other; two loads of the large fleet are new. TestDueResults holds the same cases; its items now belong to the groups that they are counted in.

--- /dev/null
+++ b/listing/listing_test.go
@@ -0,0 +1,55 @@
+package listing
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestDecide(t *testing.T) {
+	// Symptom: a step ends up to 1.3 s after its last result, and groups that are
+	// whole before they are due come late.
+	// Sequence: some results are listed just before the last ones, and answer the
+	// read that waits; the trainer reads on half a second later.
+	// Cause: results were listed every two seconds, whatever the trainer did.
+	const due = 7500 * time.Millisecond
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	read := func(age time.Duration) []Read { return []Read{{Begun: now.Add(-age), Wait: time.Second}} }
+	for _, tc := range []struct {
+		name string
+		st   State
+		want Reason
+	}{
+		{"nothing is whole", State{Satisfied: true, Reads: read(0)}, Wait},
+		{"all that is waited for", State{Results: 1, Groups: 1, Satisfied: true}, Final},
+		{"beyond what is waited for", State{Results: 1, Satisfied: true, Size: 1, Reads: read(time.Second)}, Wait},
+		{"a read has just begun", State{Results: 9, Groups: 3, Size: worthwhile, Reads: read(0)}, Wait},
+		{"a read is about to end", State{Results: 9, Groups: 3, Size: worthwhile, Reads: read(time.Second - readLead)}, ReadEnds},
+		{"a read is about to end for little", State{Results: 1, Size: worthwhile - 1, Reads: read(time.Second)}, Wait},
+		{"little that has waited long", State{Results: 1, Size: 1, PendingAge: unreadEvery, Reads: read(time.Second)}, ReadEnds},
+		{"one of two reads is about to end", State{Results: 9, Size: worthwhile, Reads: append(read(0), read(time.Second)...)}, ReadEnds},
+		{"more than an answer holds", State{Results: 9, Size: readSize, Reads: read(0)}, Full},
+		{"whole and due", State{Results: 1, Groups: 2, Target: 10, Age: due + dueSlack - carryTime, Due: due, Reads: read(0)}, LastCall},
+		{"few are whole and due", State{Results: 1, Groups: 1, Target: 10, Age: due + dueSlack - carryTime, Due: due, Reads: read(0)}, Wait},
+		{"a read is about to end, and a group is due soon", State{Results: 1, Groups: 1, Target: 10, Age: due, Due: due, Reads: read(time.Second)}, ReadEnds},
+		{"a read is about to end, and a group is late", State{Results: 1, Groups: 1, Target: 10, Age: due + dueSlack, Due: due, Reads: read(time.Second)}, Wait},
+		{"whole and not due yet", State{Results: 1, Groups: 1, Age: due, Due: due, Reads: read(0)}, Wait},
+		{"whole and late", State{Results: 1, Groups: 1, Age: due + dueSlack, Due: due, Reads: read(0)}, Wait},
+		{"due, and no group is whole", State{Results: 1, Age: due + dueSlack - carryTime, Due: due, Reads: read(0)}, Wait},
+		{"never due", State{Results: 1, Groups: 1, Age: dueSlack, Reads: read(0)}, Wait},
+		{"no one reads", State{Results: 1, PendingAge: unreadAge, ListedAge: unreadEvery, ReadAge: betweenReads}, Unread},
+		{"a trainer is between two reads", State{Results: 1, PendingAge: unreadAge, ListedAge: unreadEvery, ReadAge: betweenReads - 1}, Wait},
+		{"no one reads, and others may come", State{Results: 1, PendingAge: unreadAge - 1, ListedAge: unreadEvery, ReadAge: betweenReads}, Wait},
+		{"no one has read the last listing", State{Results: 1, PendingAge: unreadAge, ListedAge: unreadEvery - 1, ReadAge: betweenReads}, Wait},
+		{"whole and due, and the step ends", State{Results: 1, Groups: 2, Target: 10, Age: due + dueSlack - carryTime, Due: due, Reads: read(0), EndsIn: endsSoon - 1}, Wait},
+		{"a read is about to end, and so is the step", State{Results: 9, Size: worthwhile, Reads: read(time.Second), EndsIn: endsSoon - 1}, Wait},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if tc.st.EndsIn == 0 {
+				tc.st.EndsIn = time.Hour
+			}
+			assert.Equal(t, Decide(tc.st, now), tc.want)
+		})
+	}
+}
--- a/step/exchange.go
+++ b/step/exchange.go
@@ -34,6 +34,13 @@
 	return ""
 }
 
+// hurry has a listing written at once that a trainer waits for alone.
+func (te *term) hurry() {
+	if te.table.takeUrgent() {
+		notify(te.writes)
+	}
+}
+
 func notify(kick chan struct{}) {
 	select {
 	case kick <- struct{}{}:
@@ -72,6 +79,7 @@
 			if sc.term == te {
 				sc.startRewards(te, now)
 			}
+			te.hurry()
 			sc.mu.Unlock()
 		}
 		pause := exchangeEvery
--- a/step/listing.go
+++ b/step/listing.go
@@ -3,53 +3,92 @@
 import (
 	"slices"
 	"time"
-)
 
-// Bounds of listing results.
-const (
-	// listWait is how long a result waits for others before a write lists them.
-	listWait = 150 * time.Millisecond
-	// listEvery is the least time between two writes for a step whose trainer
-	// still waits for others. A trainer looks at what it has read twice a second,
-	// and misses results that come between an answer and its next look: what is
-	// listed just before the last result costs it half a second. By the replay of
-	// 24 seeds, four trainers get 0.773 of their groups in time and not 0.713,
-	// with slow engines 0.740 and not 0.658; a step takes 0.1 s less.
-	listEvery = 2 * time.Second
-	// maxChunks bounds the steps of one write: each takes an expectation and a
-	// value of a transaction, which has 32 at most.
-	maxChunks = 8
+	"wisteriacroft/listing"
 )
 
-// Due returns the results that are to be listed now, a chunk for each step.
+// maxChunks bounds the chunks of one write: each takes an expectation and a value
+// of a transaction, which has 32 at most.
+const maxChunks = 8
+
+// Due returns the results that are to be listed now, in chunks of one write.
+//
+// By the replay of 24 seeds, with long and short items before 62 engines, a step
+// ends 0.15 s after its last result and not 0.74 s, with a fifth of the
+// engines 4 times slower 0.14 s and not 0.72 s; 0.843 and 0.837 of the groups are in
+// time, and not 0.712 and 0.681.
 func (ta *Table) Due(now time.Time) []Chunk {
 	var chunks []Chunk
 	for _, sr := range ta.order {
-		if len(chunks) < maxChunks && sr.due(now) {
-			chunks = append(chunks, sr.chunk())
+		st := sr.listState(now)
+		st.EndsIn = ta.endsIn(sr, now)
+		if why := listing.Decide(st, now); why != listing.Wait {
+			sr.why = why
+			chunks = append(chunks, sr.pending(why, maxChunks-len(chunks))...)
 		}
 	}
 	return chunks
 }
 
-// due reports whether a step has results that are to be listed now: at once if
-// the trainer waits for no more than these, else with others.
-func (sr *stepRow) due(now time.Time) bool {
-	left := false
-	var oldest time.Time // of the results that are not listed
+// listState returns what decides whether a step's results are listed.
+func (sr *stepRow) listState(now time.Time) listing.State {
+	st := listing.State{
+		Age: sr.age(now), Due: sr.step.Due, ListedAge: now.Sub(sr.listedAt), ReadAge: now.Sub(sr.readAt), Satisfied: sr.sated(), Target: sr.step.Groups,
+	}
+	for _, rd := range sr.reads {
+		st.Reads = append(st.Reads, *rd)
+	}
+	groups := map[*groupRow]bool{}
 	for _, ir := range sr.items {
-		switch {
-		case ir.listed:
-		case ir.open():
-			left = true
-		case oldest.IsZero() || ir.doneAt.Before(oldest):
-			oldest = ir.doneAt
+		if ir.listed || ir.open() {
+			continue
+		}
+		st.Results++
+		st.Size += ir.size
+		st.PendingAge = max(st.PendingAge, now.Sub(ir.doneAt))
+		if gr := sr.groups[ir.item.Group]; gr.left == 0 {
+			groups[gr] = true
+		}
+	}
+	st.Groups = len(groups)
+	return st
+}
+
+// endsIn returns when the groups that a step's trainer waits for are expected to
+// be whole.
+func (ta *Table) endsIn(sr *stepRow, now time.Time) time.Duration {
+	groups := map[string]time.Duration{}
+	for _, ir := range sr.items {
+		if ir.open() {
+			groups[ir.item.Group] = max(groups[ir.item.Group], ta.runsFor(ir, now))
+		}
+	}
+	var must time.Duration // for groups that were asked for before
+	var others []time.Duration
+	missing := min(sr.step.Groups, len(sr.groups)) - (len(sr.groups) - len(groups))
+	for name, took := range groups {
+		if sr.groups[name].again {
+			must = max(must, took)
+			missing--
+		} else {
+			others = append(others, took)
 		}
 	}
-	if oldest.IsZero() {
-		return false
+	if missing <= 0 || len(others) == 0 {
+		return must
 	}
-	return !left || sr.sated() || now.Sub(oldest) >= listWait && now.Sub(sr.listedAt) >= listEvery
+	slices.Sort(others)
+	return max(must, others[min(missing, len(others))-1])
+}
+
+// runsFor returns how long an item is expected to run still.
+func (ta *Table) runsFor(ir *itemRow, now time.Time) time.Duration {
+	en := ta.engines[ir.run.engine]
+	if ir.state != running || en == nil || en.base == 0 {
+		return ir.expectedTime()
+	}
+	events := float64(ir.left()) / float64(ir.step.gauge.eventTokens())
+	return time.Duration(events*float64(ta.paceWith(en, nil))) - now.Sub(ir.run.eventAt)
 }
 
 // sated reports whether the groups that the trainer waits for are whole: as many
@@ -63,24 +102,66 @@
 			return false
 		}
 	}
-	return whole >= sr.step.Groups
+	return whole >= min(sr.step.Groups, len(sr.groups))
 }
 
-// chunk returns a step's results that are not listed yet.
-func (sr *stepRow) chunk() Chunk {
-	ch := Chunk{Number: sr.chunks, Step: sr.step.ID}
-	size := 0
+// hold notes that a read waits for results of the step, until released.
+func (sr *stepRow) hold(now time.Time, wait time.Duration) (release func(now time.Time)) {
+	rd := &listing.Read{Begun: now, Wait: wait}
+	sr.reads, sr.readAt = append(sr.reads, rd), now
+	return func(now time.Time) {
+		sr.readAt = now
+		sr.reads = slices.DeleteFunc(sr.reads, func(other *listing.Read) bool { return other == rd })
+	}
+}
+
+// pending returns a step's results that are not listed yet, in chunks. Those of
+// whole groups come first; when the trainer waits for no more they come alone, as
+// its last answer then has less to carry.
+func (sr *stepRow) pending(why listing.Reason, limit int) []Chunk {
+	var whole, rest []*itemRow
 	for _, ir := range sr.items {
-		if ir.listed || ir.open() {
-			continue
+		switch {
+		case ir.listed || ir.open():
+		case sr.groups[ir.item.Group].left == 0:
+			whole = append(whole, ir)
+		default:
+			rest = append(rest, ir)
 		}
-		re := ir.result()
-		if size += len(re.Text); size > partSize && len(ch.Results) > 0 {
-			break
+	}
+	if why != listing.Final {
+		whole = append(whole, rest...)
+	}
+	var chunks []Chunk
+	for len(whole) > 0 && len(chunks) < limit {
+		count := fill(whole)
+		ch := Chunk{Number: sr.chunks + len(chunks), Step: sr.step.ID}
+		for _, ir := range whole[:count] {
+			ch.Results = append(ch.Results, ir.result())
 		}
-		ch.Results = append(ch.Results, re)
+		chunks = append(chunks, ch)
+		whole = whole[count:]
+	}
+	return chunks
+}
+
+// fill returns how many of some items one value holds, and one at least.
+func fill(irs []*itemRow) int {
+	size := 0
+	for i, ir := range irs {
+		if size += ir.size; size > partSize && i > 0 {
+			return i
+		}
+	}
+	return len(irs)
+}
+
+// measure notes how much text an item has.
+func (ir *itemRow) measure() {
+	ir.size = 0
+	for _, ev := range ir.events {
+		ir.size += len(ev.Data) + 1
 	}
-	return ch
 }
 
 // result returns what is listed of an item.
@@ -90,6 +171,7 @@
 		return re
 	}
 	re.Score = ir.reward.score
+	re.Text = make([]byte, 0, ir.size)
 	for i, ev := range ir.events {
 		if i > 0 {
 			re.Text = append(re.Text, '\n')
@@ -105,33 +187,36 @@
 // Listed takes in that chunks are listed.
 func (ta *Table) Listed(chunks []Chunk, now time.Time) {
 	for _, ch := range chunks {
-		sr, ok := ta.steps[ch.Step]
-		if !ok {
-			continue
+		if sr, ok := ta.steps[ch.Step]; ok {
+			ta.listed(sr, ch, now)
 		}
-		sr.results = append(sr.results, ch.Results...)
-		sr.chunks = ch.Number + 1
-		sr.counts = append(sr.counts, len(ch.Results))
-		sr.listedAt = now
-		positions := map[string]bool{}
-		for _, re := range ch.Results {
-			positions[re.Item] = true
+	}
+}
+
+func (ta *Table) listed(sr *stepRow, ch Chunk, now time.Time) {
+	sr.results = append(sr.results, ch.Results...)
+	sr.chunks = ch.Number + 1
+	sr.counts = append(sr.counts, len(ch.Results))
+	sr.listedAt = now
+	positions := map[string]bool{}
+	for _, re := range ch.Results {
+		positions[re.Item] = true
+	}
+	all := true
+	for _, ir := range sr.items {
+		if positions[ir.item.ID] {
+			ir.listed = true
+			ta.letGo(ir)
 		}
-		all := true
-		for _, ir := range sr.items {
-			if positions[ir.item.ID] {
-				ir.listed = true
-				ta.letGo(ir)
-			}
-			if ir.listed && sr.groups[ir.item.Group].left == 0 {
-				ir.events = nil // the text stands in the results
-			}
-			all = all && ir.listed
+		if ir.listed && sr.groups[ir.item.Group].left == 0 {
+			ir.events = nil // the text stands in the results
 		}
-		sr.idle = sr.idle || all
-		sr.wake()
-		ta.log("results listed", map[string]any{
-			"chunk": ch.Number, "listed": len(sr.results), stepField: ch.Step, "total": len(sr.step.Items),
-		})
+		all = all && ir.listed
 	}
+	sr.idle = sr.idle || all
+	sr.wake()
+	ta.log("results listed", map[string]any{
+		"chunk": ch.Number, "listed": len(sr.results), "reads": len(sr.reads), stepField: ch.Step, "total": len(sr.step.Items),
+		"why": string(sr.why),
+	})
 }
--- a/step/listing_test.go
+++ b/step/listing_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"wisteriacroft/listing"
 )
 
 func TestDueResults(t *testing.T) {
@@ -24,8 +26,8 @@
 		due      bool
 	}{
 		{"nothing is whole", 3, 0, 0, 0, 0, false},
-		{"the first ones wait for others", 3, 1, 0, listWait / 2, 0, false},
-		{"the first ones have waited", 3, 1, 0, listWait, 0, true},
+		{"the first ones wait for others", 3, 1, 0, 75 * time.Millisecond, 0, false},
+		{"the first ones have waited", 3, 1, 0, 150 * time.Millisecond, 0, true},
 		{"too soon after the last write", 3, 1, 0, second, 9 * second, false},
 		{"long after the last write", 3, 1, 0, second, 8 * second, true},
 		{"the trainer waits for no more", 2, 2, 0, 0, 10 * second, true},
@@ -40,14 +42,14 @@
 			}
 			for i := range 3 {
 				gr := &groupRow{again: i >= 3-tc.again, left: 1}
-				ir := &itemRow{item: &Item{}, state: running}
+				ir := &itemRow{item: &Item{Group: fmt.Sprint(i)}, state: running}
 				if i < tc.whole {
 					gr.left, ir.state, ir.doneAt = 0, complete, now.Add(-tc.since)
 				}
 				sr.groups[fmt.Sprint(i)] = gr
 				sr.items = append(sr.items, ir)
 			}
-			assert.Equal(t, sr.due(now), tc.due)
+			assert.Equal(t, listing.Decide(sr.listState(now), now) != listing.Wait, tc.due)
 		})
 	}
 }
--- a/step/load_test.go
+++ b/step/load_test.go
@@ -20,6 +20,7 @@
 	trainers int // 0 means one
 	sheet    simSheet
 	lesson   time.Duration // that training takes; 0 means half a second
+	short    int           // groups of a trainer of short items beside the others
 	each     func(re *replay, at time.Duration)
 }
 
@@ -37,6 +38,9 @@
 // models of their own.
 func (pa *pattern) newReplay(seed uint64) *replay {
 	var trainers []*simTrainer
+	if pa.short > 0 {
+		trainers = append(trainers, newTrainer(shortSheet, "short", pa.short, 16, 500*time.Millisecond, seed+50))
+	}
 	for i := range max(pa.trainers, 1) {
 		trainers = append(trainers, newTrainer(pa.sheet, fmt.Sprintf("model-%d", i), pa.groups, pa.size, max(pa.lesson, 500*time.Millisecond), seed+uint64(100*i)))
 	}
@@ -78,6 +82,18 @@
 				}
 			},
 		},
+		{name: "long and short items before 62 engines", factors: factors(62), groups: 38, size: 8, short: 22, sheet: largeSheet},
+		{
+			name: "long and short items, a fifth turn 4 times slower", factors: factors(62), groups: 38, size: 8, short: 22, sheet: largeSheet,
+			each: func(re *replay, at time.Duration) {
+				for _, se := range re.engines[:12] {
+					se.factor = 1
+					if at > 5*time.Second && at < 13*time.Second {
+						se.factor = 4
+					}
+				}
+			},
+		},
 		{name: "four trainers share 46 engines", factors: factors(46), groups: 9, size: 16, trainers: 4, lesson: time.Second, sheet: grownSheet},
 		{
 			name: "four trainers, little memory, slow engines", factors: mixedFactors(50), groups: 22, size: 8, trainers: 4,
@@ -110,7 +126,7 @@
 type outcome struct {
 	asked, scheduled int // steps
 	inTime, owed     int // groups
-	took             []time.Duration
+	took, tails      []time.Duration
 }
 
 // run replays the pattern with a seed.
@@ -129,6 +145,7 @@
 	for _, tr := range re.trainers {
 		steps := int(dayLength / tr.every)
 		oc.took = append(oc.took, tr.took...)
+		oc.tails = append(oc.tails, tr.tails...)
 		oc.inTime += tr.inTime
 		oc.owed += steps * tr.target
 		oc.asked += tr.next
@@ -152,16 +169,17 @@
 		all.inTime += oc.inTime
 		all.owed += oc.owed
 		all.took = append(all.took, oc.took...)
+		all.tails = append(all.tails, oc.tails...)
 	}
-	return fmt.Sprintf("%-50s %-9s %8.3f %7.3f %7d %7.2fs\n", pa.name, name, float64(all.inTime)/float64(all.owed),
-		float64(all.asked)/float64(all.scheduled), len(all.took), mean(all.took).Seconds())
+	return fmt.Sprintf("%-50s %-9s %8.3f %7.3f %7d %7.2fs %7.2fs\n", pa.name, name, float64(all.inTime)/float64(all.owed),
+		float64(all.asked)/float64(all.scheduled), len(all.took), mean(all.took).Seconds(), mean(all.tails).Seconds())
 }
 
 // TestLoad replays loads at their worst, and holds what the policy makes of
 // them against a baseline: the freest engine takes an item, and keeps it.
 func TestLoad(t *testing.T) {
 	var out strings.Builder
-	fmt.Fprintf(&out, "%-50s %-9s %8s %7s %7s %8s\n", "load", "policy", "in-time", "asked", "steps", "mean")
+	fmt.Fprintf(&out, "%-50s %-9s %8s %7s %7s %8s %8s\n", "load", "policy", "in-time", "asked", "steps", "mean", "tail")
 	for _, pa := range patterns() {
 		out.WriteString(pa.runAll("baseline", true))
 		out.WriteString(pa.runAll("chosen", false))
--- a/step/read.go
+++ b/step/read.go
@@ -37,24 +37,41 @@
 		}
 		li := sr.listing(rq.After)
 		changed, idle := sr.changed, sr.idle
-		sc.mu.Unlock()
 		left := time.Until(end)
-		if len(li.Results) > 0 || idle || left <= 0 {
+		answer := len(li.Results) > 0 || idle || left <= 0
+		release := func(time.Time) {}
+		if !answer {
+			release = sr.hold(begun, rq.Wait)
+		}
+		sc.mu.Unlock()
+		if answer {
 			sc.Log.WithFields(logrus.Fields{
 				"after": rq.After, "allowed-ms": rq.Wait.Milliseconds(), "results": len(li.Results), stepField: rq.ID,
 				"waited-ms": time.Since(begun).Milliseconds(),
 			}).Info("results read")
 			return li, nil
 		}
-		select {
-		case <-ctx.Done():
-			return Listing{}, ctx.Err()
-		case <-changed:
-		case <-time.After(left):
+		err = await(ctx, changed, left)
+		sc.mu.Lock()
+		release(time.Now())
+		sc.mu.Unlock()
+		if err != nil {
+			return Listing{}, err
 		}
 	}
 }
 
+// await waits until results are listed or a time is over.
+func await(ctx context.Context, changed <-chan struct{}, left time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-changed:
+	case <-time.After(left):
+	}
+	return nil
+}
+
 // maxListing bounds the text of one answer, in bytes: an answer may have 1 MB,
 // and its encoding takes some more.
 const maxListing = 800 << 10
--- a/step/replay_test.go
+++ b/step/replay_test.go
@@ -29,10 +29,13 @@
 }
 
 // The sheets of the deployments: one trainer before a dozen engines, four
-// before 46, and four before 50 with little memory.
+// before 46, two before 62, whose items are long and short, and four before 50
+// with little memory.
 var (
 	smallSheet = simSheet{eventTokens: 64, maxEvents: 195, prompt: 271, slots: 12, tokens: 46422}
 	grownSheet = simSheet{eventTokens: 80, maxEvents: 149, prompt: 1016, slots: 8, tokens: 43562}
+	largeSheet = simSheet{eventTokens: 64, maxEvents: 195, prompt: 276, slots: 6, tokens: 27652}
+	shortSheet = simSheet{eventTokens: 64, maxEvents: 91, prompt: 276, slots: 6, tokens: 27652}
 	tightSheet = simSheet{eventTokens: 80, maxEvents: 154, prompt: 276, slots: 8, tokens: 31632}
 )
 
--- a/step/scheduler.go
+++ b/step/scheduler.go
@@ -96,6 +96,7 @@
 	freshAt  time.Time                // the service answered for the intake
 	ready    bool                     // what earlier schedulers wrote is read
 	table    *Table
+	writes   chan struct{} // kicks of what writes
 }
 
 // Register registers the scheduler's methods.
@@ -178,6 +179,7 @@
 	te := &term{
 		begin: func() (context.Context, context.CancelFunc) { return context.WithCancel(ctx) },
 		calls: map[*itemRow]context.CancelFunc{}, cancel: cancel, epoch: epoch, exchange: map[string]chan struct{}{},
+		writes: make(chan struct{}, 1),
 	}
 	te.table = NewTable(epoch, func(event string, fields map[string]any) {
 		sc.Log.WithFields(fields).WithField("epoch", epoch).Info(event)
--- a/step/simengine_test.go
+++ b/step/simengine_test.go
@@ -1,6 +1,7 @@
 package step
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"time"
@@ -33,6 +34,9 @@
 	state  runner.State
 }
 
+// simEvent is the data of an event.
+var simEvent = bytes.Repeat([]byte("x"), 350)
+
 const (
 	simTick = 50 * time.Millisecond
 	simLoad = 900 * time.Millisecond
@@ -89,7 +93,7 @@
 		ru.made += events
 		prior := len(ru.launch.Prior)
 		for len(ru.events) < prior+int(ru.made) && len(ru.events) < ru.length {
-			ru.events = append(ru.events, runner.Event{ID: int64(len(ru.events) + 1), Data: []byte("x"), Version: se.versions[ru.model]})
+			ru.events = append(ru.events, runner.Event{ID: int64(len(ru.events) + 1), Data: simEvent, Version: se.versions[ru.model]})
 		}
 		if len(ru.events) >= ru.length {
 			ru.state = runner.Complete
--- a/step/simtrainer_test.go
+++ b/step/simtrainer_test.go
@@ -28,10 +28,11 @@
 	size    int
 	start   time.Time
 	target  int
-	train   time.Time // when the version after the step that ended is named
+	trains  []time.Time // when the versions after steps that ended are named: one step is trained on after the other
 
-	inTime, whole, asked int
-	took                 []time.Duration
+	inTime, asked int
+	took          []time.Duration
+	tails         []time.Duration // of each step, from its last result to its end
 }
 
 type simStep struct {
@@ -40,37 +41,67 @@
 	asked time.Time
 	first map[string]bool
 
-	inTime  int  // groups that were whole when the step was due
-	read    int  // results
-	reading bool // a read waits for results
-	lookAt  time.Time
+	inTime int // groups that were read in time
+	read   int // results
+	reader simReader
 }
 
-// readEvery is how often a trainer looks at what it has read and reads on.
-const readEvery = 500 * time.Millisecond
+// A simReader reads a step's results as the deployments' trainers do: a read waits
+// for a result for a second, its answer takes some time on its way, and the next
+// look comes half a second after the read was begun, or with the answer if that
+// comes later.
+type simReader struct {
+	begun    time.Time // of the read
+	held     bool      // it waits for results
+	lookAt   time.Time
+	release  func(now time.Time)
+	arriving int // results on their way
+	arriveAt time.Time
+}
+
+// How trainers read.
+const (
+	readEvery = 500 * time.Millisecond
+	readWait  = time.Second
+	// submitTime is what passes between a trainer's submission and the scheduler's
+	// learning of it.
+	submitTime = 100 * time.Millisecond
+	// answerTime and answerRate are what an answer takes: 700 KB take 80 to 250 ms
+	// through entries of 0.8 and 0.144 cores.
+	answerTime = 20 * time.Millisecond
+	answerRate = 5 << 20 // bytes a second
+)
 
-// looks reports whether the trainer looks at what it has read now. A read that
-// finds results is answered at once, and one that finds none once there are
-// some; the trainer takes no notice before it looks again, and reads on if it
-// lacks results.
-func (ss *simStep) looks(now time.Time) bool {
-	if ss.reading && len(ss.row.results) > ss.read {
-		ss.read, ss.reading = len(ss.row.results), false
+// advance moves the answer of a read on, and reports whether the trainer looks at
+// what it has now.
+func (ss *simStep) advance(now time.Time) bool {
+	rd := &ss.reader
+	if rd.held {
+		li := ss.row.listing(ss.read)
+		if len(li.Results) == 0 && now.Sub(rd.begun) < readWait {
+			return false
+		}
+		size := 0
+		for _, re := range li.Results {
+			size += len(re.Text)
+		}
+		rd.release(now)
+		rd.held, rd.arriving = false, len(li.Results)
+		rd.arriveAt = now.Add(answerTime + time.Duration(size)*time.Second/answerRate)
+		rd.lookAt = rd.begun.Add(readEvery)
+		if rd.lookAt.Before(rd.arriveAt) {
+			rd.lookAt = rd.arriveAt
+		}
 	}
-	if now.Before(ss.lookAt) {
-		return false
+	if rd.arriving > 0 && !now.Before(rd.arriveAt) {
+		ss.read, rd.arriving = ss.read+rd.arriving, 0
 	}
-	ss.lookAt = ss.lookAt.Add(readEvery)
-	return true
+	return !now.Before(rd.lookAt)
 }
 
-// readOn begins a read, unless one waits.
-func (ss *simStep) readOn() {
-	if !ss.reading && len(ss.row.results) > ss.read {
-		ss.read = len(ss.row.results)
-		return
-	}
-	ss.reading = true
+// readOn begins a read.
+func (ss *simStep) readOn(now time.Time) {
+	ss.reader = simReader{begun: now, held: true, release: ss.row.hold(now, readWait)}
 }
 
 func (tr *simTrainer) length() int {
@@ -124,15 +155,15 @@
 		st.Items = append(st.Items, tr.names[name]...)
 	}
 	re.table.Accept(st, Kept{}, false, re.now)
-	tr.open = append(tr.open, &simStep{row: re.table.steps[st.ID], step: st, asked: re.now, first: first, lookAt: re.now})
+	tr.open = append(tr.open, &simStep{row: re.table.steps[st.ID], step: st, asked: re.now, first: first, reader: simReader{lookAt: re.now}})
 	tr.asked += tr.target
 	tr.next++
 }
 
 // look reads each open step, and ends those that are whole or out of time.
 func (tr *simTrainer) look(re *replay) {
-	if !tr.train.IsZero() && !re.now.Before(tr.train) {
-		tr.train = time.Time{}
+	for len(tr.trains) > 0 && !re.now.Before(tr.trains[0]) {
+		tr.trains = tr.trains[1:]
 		tr.named++
 		re.table.SetVersion(tr.model, tr.named)
 	}
@@ -141,41 +172,84 @@
 
 func (tr *simTrainer) finish(re *replay, ss *simStep) bool {
 	took := re.now.Sub(ss.asked)
-	if !ss.looks(re.now) && took < 12*time.Second {
+	before := ss.read
+	looks := ss.advance(re.now)
+	if !looks && ss.read == before && took < 12*time.Second {
 		return false
 	}
-	listed := map[string]int{}
-	for _, it := range ss.row.results[:ss.read] {
-		listed[it.Item[:strings.LastIndex(it.Item, "-")]]++
+	whole, first := ss.whole(tr.size)
+	if took+submitTime <= tr.due+700*time.Millisecond {
+		ss.inTime = whole
 	}
-	whole, first := 0, 0
-	for name, count := range listed {
-		if count == tr.size {
+	if (!looks || whole < tr.target || first < len(ss.first)) && took < 12*time.Second {
+		if looks {
+			ss.readOn(re.now)
+		}
+		return false
+	}
+	tr.inTime += min(ss.inTime, tr.target)
+	tr.took = append(tr.took, took)
+	tr.tails = append(tr.tails, re.now.Sub(ss.row.lastDone()))
+	tr.carryOver(ss)
+	re.table.End(ss.step.ID)
+	tr.learn(re.now)
+	return true
+}
+
+// learn trains on a step that has ended, after those that ended before.
+func (tr *simTrainer) learn(now time.Time) {
+	begun := now
+	if len(tr.trains) > 0 {
+		begun = tr.trains[len(tr.trains)-1]
+	}
+	tr.trains = append(tr.trains, begun.Add(tr.lesson))
+}
+
+// whole returns how many groups have been read whole, and how many of those that
+// were asked for before.
+func (ss *simStep) whole(size int) (whole, first int) {
+	for name, count := range ss.readGroups() {
+		if count == size {
 			whole++
 			if ss.first[name] {
 				first++
 			}
 		}
 	}
-	if ss.inTime < whole && took <= tr.due+700*time.Millisecond {
-		ss.inTime = whole
+	return whole, first
+}
+
+// readGroups returns how many items of each group have been read.
+func (ss *simStep) readGroups() map[string]int {
+	groups := map[string]int{}
+	for _, re := range ss.row.results[:ss.read] {
+		groups[groupOf(re.Item)]++
 	}
-	if (whole < tr.target || first < len(ss.first)) && took < 12*time.Second {
-		ss.readOn()
-		return false
+	return groups
+}
+
+func groupOf(item string) string { return item[:strings.LastIndex(item, "-")] }
+
+// lastDone returns when the last result that is listed was whole.
+func (sr *stepRow) lastDone() time.Time {
+	var last time.Time
+	for _, ir := range sr.items {
+		if ir.listed && ir.doneAt.After(last) {
+			last = ir.doneAt
+		}
 	}
-	tr.inTime += min(ss.inTime, tr.target)
-	tr.whole += min(whole, tr.target)
-	tr.took = append(tr.took, took)
-	for name := range tr.names {
-		if listed[name] < tr.size && slices.ContainsFunc(ss.step.Items, func(it Item) bool { return it.Group == name }) {
-			tr.carry = append(tr.carry, name)
+	return last
+}
+
+// carryOver keeps the groups that were not read whole for later steps.
+func (tr *simTrainer) carryOver(ss *simStep) {
+	read := ss.readGroups()
+	for _, it := range ss.step.Items {
+		if read[it.Group] < tr.size && !slices.Contains(tr.carry, it.Group) {
+			tr.carry = append(tr.carry, it.Group)
 		}
 	}
 	slices.Sort(tr.carry)
-	re.table.End(ss.step.ID)
-	tr.train = re.now.Add(tr.lesson)
-	return true
 }
 
 // newTrainer returns a trainer of groups of a size; 9 of 10 groups, rounded up,
--- a/step/table.go
+++ b/step/table.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wisteriacroft/incarnation"
+	"wisteriacroft/listing"
 	"wisteriacroft/runner"
 )
 
@@ -33,6 +34,7 @@
 	known    int // events that an earlier run made, at least
 	listed   bool
 	moves    int
+	size     int           // of the text of an item that is complete, in bytes
 	spare    time.Duration // time that it can wait, as of the last placing
 	since    time.Time     // waiting or running since then
 	run      run           // if running
@@ -70,11 +72,14 @@
 	rewards     *rewardGauge
 	groups      map[string]*groupRow
 	items       []*itemRow
-	chunks      int       // that are listed
-	counted     bool      // counts are known
-	counts      []int     // results of each chunk
-	checkpoints int       // that are kept
-	listedAt    time.Time // of the last results
+	chunks      int             // that are listed
+	counted     bool            // counts are known
+	counts      []int           // results of each chunk
+	checkpoints int             // that are kept
+	listedAt    time.Time       // of the last results
+	reads       []*listing.Read // that wait for results
+	readAt      time.Time       // a read last waited
+	why         listing.Reason  // of the last listing
 	results     []Result
 	changed     chan struct{} // closed when results are listed
 	idle        bool          // all items are listed, or it has ended
@@ -131,6 +136,7 @@
 	steps    map[string]*stepRow
 	// unscored are the items whose whole texts wait for their scores.
 	unscored map[*itemRow]bool
+	urgent   bool              // a trainer waits for no more than is whole
 	order    []*stepRow        // open steps by acceptance
 	named    map[string]uint64 // newest version of each model
 	log      func(event string, fields map[string]any)
@@ -242,10 +248,12 @@
 	ta.unreserve(ir)
 	delete(ta.unscored, ir)
 	ir.state, ir.doneAt = state, now
+	ir.measure()
 	gr := ir.step.groups[ir.item.Group]
 	gr.left--
 	if gr.left == 0 {
 		gr.doneAt = now
+		ta.urgent = ta.urgent || ir.step.sated()
 	}
 }
 
@@ -333,5 +341,13 @@
 	ir.state, ir.since = waiting, now
 }
 
+// takeUrgent reports, once, that a trainer has come to wait for no more than is
+// whole: a listing is worth looking for at once.
+func (ta *Table) takeUrgent() bool {
+	urgent := ta.urgent
+	ta.urgent = false
+	return urgent
+}
+
 // Open reports whether any step has items to run or list.
 func (ta *Table) Open() bool { return len(ta.order) > 0 }
--- a/step/write.go
+++ b/step/write.go
@@ -21,7 +21,7 @@
 			sc.mu.Unlock()
 		}
 		if up.empty() {
-			pause(ctx, tickEvery)
+			te.awaitWrites(ctx)
 			continue
 		}
 		done, err := sc.writeOnce(ctx, te, up, timeout)
@@ -44,6 +44,15 @@
 	}
 }
 
+// awaitWrites waits until there may be something to write.
+func (te *term) awaitWrites(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-te.writes:
+	case <-time.After(tickEvery):
+	}
+}
+
 func (sc *Scheduler) writeOnce(ctx context.Context, te *term, up Update, timeout time.Duration) (bool, error) {
 	fence, ok := sc.Holder.Fence(te.epoch)
 	if !ok {
