--- a/step/door.go
+++ b/step/door.go
@@ -76,7 +76,7 @@
 		default:
 			return errors.Wrap(keyvalue.ErrUnavailable, err.Error())
 		}
-		pause(ctx, retryAfter)
+		pause(ctx)
 	}
 }
 
--- a/step/field.go
+++ b/step/field.go
@@ -6,4 +6,5 @@
 	engineField = "engine"
 	itemField   = "item"
 	stepField   = "step"
+	whyField    = "why"
 )
--- a/step/follow.go
+++ b/step/follow.go
@@ -27,7 +27,7 @@
 		case err != nil:
 			sc.Log.WithError(err).Warn("steps can't be followed")
 			lost = true
-			pause(ctx, retryAfter)
+			pause(ctx)
 			continue
 		}
 		lost = false
@@ -37,7 +37,7 @@
 			sc.Log.WithError(err).Warn("what is kept of steps can't be read")
 			in = intake{} // read all again
 			after, scan = 0, true
-			pause(ctx, retryAfter)
+			pause(ctx)
 			continue
 		}
 		sc.takeIntake(te, &in, accepted, ended, kept)
@@ -114,9 +114,10 @@
 	}
 }
 
-func pause(ctx context.Context, wait time.Duration) {
+// pause waits after a call that failed.
+func pause(ctx context.Context) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(wait):
+	case <-time.After(retryAfter):
 	}
 }
--- a/step/listing.go
+++ b/step/listing.go
@@ -217,6 +217,6 @@
 	sr.wake()
 	ta.log("results listed", map[string]any{
 		"chunk": ch.Number, "listed": len(sr.results), "reads": len(sr.reads), stepField: ch.Step, "total": len(sr.step.Items),
-		"why": string(sr.why),
+		whyField: string(sr.why),
 	})
 }
--- a/step/table.go
+++ b/step/table.go
@@ -272,7 +272,7 @@
 		delete(ta.unscored, ir)
 		if ir.state == scoring {
 			ta.log("reward call dropped", map[string]any{
-				callField: ir.item.Reward.ID, itemField: ir.item.ID, "sent": ir.reward.calls, stepField: id, "why": "step ended",
+				callField: ir.item.Reward.ID, itemField: ir.item.ID, "sent": ir.reward.calls, stepField: id, whyField: "step ended",
 			})
 		}
 		if len(ir.events) > 0 && ir.state != lost && sr.groups[ir.item.Group].left > 0 {
@@ -334,7 +334,7 @@
 func (ta *Table) requeue(ir *itemRow, why string, now time.Time) {
 	ta.log("run given up", map[string]any{
 		"attempt": ir.run.key.Attempt, engineField: ir.run.engine, "events": len(ir.events), itemField: ir.item.ID,
-		stepField: ir.step.step.ID, "why": why,
+		stepField: ir.step.step.ID, whyField: why,
 	})
 	ir.unwanted = ir.run.engine
 	ta.release(ir)
--- a/step/write.go
+++ b/step/write.go
@@ -39,7 +39,7 @@
 		default:
 			sc.Log.WithError(err).Warn("results can't be listed")
 			timeout = probeTimeout
-			pause(ctx, retryAfter)
+			pause(ctx)
 		}
 	}
 }
