Reads that are answered no longer wait; a read joins the results that are being written

Ruled out: holding reads back for results that are only expected. Change: a listing answers the reads that wait; a read that finds results while others of its step are being written waits for them, 0.1 s at most. Result: TestOneListingForARead, TestReadJoinsWhatIsWritten.

--- a/step/listing.go
+++ b/step/listing.go
@@ -23,7 +23,7 @@
 		st := sr.listState(now)
 		st.EndsIn = ta.endsIn(sr, now)
 		if why := listing.Decide(st, now); why != listing.Wait {
-			sr.why = why
+			sr.why, sr.writtenAt = why, now
 			chunks = append(chunks, sr.pending(why, maxChunks-len(chunks))...)
 		}
 	}
@@ -105,6 +105,20 @@
 	return whole >= min(sr.step.Groups, len(sr.groups))
 }
 
+// joinTime bounds how long an answer waits for results of its step that are being
+// written: some 10 ms as a rule. Without them the trainer looks, reads them and looks
+// again, each half a second later.
+const joinTime = 100 * time.Millisecond
+
+// joins returns for how long a read that finds results is to wait for those that
+// are being written.
+func (sr *stepRow) joins(now time.Time) time.Duration {
+	if sr.writtenAt.IsZero() {
+		return 0
+	}
+	return max(0, joinTime-now.Sub(sr.writtenAt))
+}
+
 // hold notes that a read waits for results of the step, until released.
 func (sr *stepRow) hold(now time.Time, wait time.Duration) (release func(now time.Time)) {
 	rd := &listing.Read{Begun: now, Wait: wait}
@@ -115,6 +129,15 @@
 	}
 }
 
+// answerReads takes in that the reads that wait are answered. Taken for reads that
+// still wait, they had another listing made for them at once, which the trainer's
+// next read then found alone.
+func (sr *stepRow) answerReads(now time.Time) {
+	if len(sr.reads) > 0 {
+		sr.reads, sr.readAt = nil, now
+	}
+}
+
 // pending returns a step's results that are not listed yet, in chunks. Those of
 // whole groups come first; when the trainer waits for no more they come alone, as
 // its last answer then has less to carry.
@@ -197,7 +220,7 @@
 	sr.results = append(sr.results, ch.Results...)
 	sr.chunks = ch.Number + 1
 	sr.counts = append(sr.counts, len(ch.Results))
-	sr.listedAt = now
+	sr.listedAt, sr.writtenAt = now, time.Time{}
 	positions := map[string]bool{}
 	for _, re := range ch.Results {
 		positions[re.Item] = true
@@ -214,6 +237,7 @@
 		all = all && ir.listed
 	}
 	sr.idle = sr.idle || all
+	sr.answerReads(now)
 	sr.wake()
 	ta.log("results listed", map[string]any{
 		"chunk": ch.Number, "listed": len(sr.results), "reads": len(sr.reads), stepField: ch.Step, "total": len(sr.step.Items),
--- a/step/listing_test.go
+++ b/step/listing_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"wisteriacroft/listing"
+	"wisteriacroft/runner"
 )
 
 func TestDueResults(t *testing.T) {
@@ -53,3 +55,75 @@
 		})
 	}
 }
+
+// twoLarge returns a table with a step of two items, of which the first is whole
+// and has as much text as a listing is worth.
+func twoLarge(t *testing.T, now time.Time) (*Table, *stepRow) {
+	t.Helper()
+	ta := tableOf(t, 1, "a")
+	ta.Accept(stepOf("s", 1, 1), Kept{}, false, now)
+	ta.Place(now)
+	end(ta, t, "s", 0, runner.Complete, []runner.Event{{Data: make([]byte, 300<<10), ID: 1, Version: 1}}, now)
+	return ta, ta.steps["s"]
+}
+
+func TestOneListingForARead(t *testing.T) {
+	// Symptom: a trainer's next read finds five results, and the last ones of its step
+	// 4 ms later; it looks twice more.
+	// Sequence: a read is answered because it ends; before its own goroutine has taken
+	// note, the next listing is decided on.
+	// Cause: the read still counted as waiting, and as about to end.
+	ta, sr := twoLarge(t, begin)
+	release := sr.hold(begin, time.Second)
+	late := begin.Add(950 * time.Millisecond)
+	chunks := ta.Due(late)
+	assert.Equal(t, len(chunks), 1)
+	assert.Equal(t, sr.why, listing.ReadEnds)
+	ta.Listed(chunks, late)
+	assert.Equal(t, len(sr.reads), 0)
+	assert.Equal(t, sr.listState(late).ReadAge, time.Duration(0))
+	release(late)
+}
+
+func TestReadJoinsWhatIsWritten(t *testing.T) {
+	// Symptom: a step ends a second after its last result.
+	// Sequence: results are listed; while the last ones are being written, 1 ms before
+	// they are, the trainer's next read comes and is answered with the first ones.
+	// Cause: what was about to be there was left to two more looks.
+	for _, tc := range []struct {
+		name    string
+		takes   time.Duration // the write
+		wait    time.Duration // that the reader allows
+		results int
+		answer  time.Duration
+	}{
+		{"a write", 20 * time.Millisecond, time.Second, 2, 19 * time.Millisecond},
+		{"a slow write", time.Second, time.Second, 1, joinTime - time.Millisecond},
+		{"a reader that doesn't wait", 20 * time.Millisecond, 0, 1, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ta, sr := twoLarge(t, time.Now())
+				sc := &Scheduler{Log: quiet(), term: &term{ready: true, table: ta}}
+				sr.hold(time.Now().Add(-950*time.Millisecond), time.Second)
+				ta.Listed(ta.Due(time.Now()), time.Now())
+				end(ta, t, "s", 1, runner.Complete, events(1, 1, 1), time.Now())
+				chunks := ta.Due(time.Now())
+				assert.Equal(t, sr.why, listing.Final)
+				go func() {
+					time.Sleep(tc.takes)
+					sc.mu.Lock()
+					defer sc.mu.Unlock()
+					ta.Listed(chunks, time.Now())
+				}()
+				time.Sleep(time.Millisecond)
+				begun := time.Now()
+				li, err := sc.read(t.Context(), ReadRequest{ID: "s", Wait: tc.wait})
+				assert.NilError(t, err)
+				assert.Equal(t, len(li.Results), tc.results)
+				assert.Equal(t, time.Since(begun), tc.answer)
+				time.Sleep(tc.takes)
+			})
+		})
+	}
+}
--- a/step/read.go
+++ b/step/read.go
@@ -39,6 +39,9 @@
 		changed, idle := sr.changed, sr.idle
 		left := time.Until(end)
 		answer := len(li.Results) > 0 || idle || left <= 0
+		if joins := sr.joins(time.Now()); answer && rq.Wait > 0 && joins > 0 {
+			answer, left = false, joins
+		}
 		release := func(time.Time) {}
 		if !answer {
 			release = sr.hold(begun, rq.Wait)
--- a/step/table.go
+++ b/step/table.go
@@ -80,6 +80,7 @@
 	reads       []*listing.Read // that wait for results
 	readAt      time.Time       // a read last waited
 	why         listing.Reason  // of the last listing
+	writtenAt   time.Time       // results are being written since then; zero if not
 	results     []Result
 	changed     chan struct{} // closed when results are listed
 	idle        bool          // all items are listed, or it has ended
