--- a/step/listing_test.go
+++ b/step/listing_test.go
@@ -61,7 +61,9 @@
 func twoLarge(t *testing.T, now time.Time) (*Table, *stepRow) {
 	t.Helper()
 	ta := tableOf(t, 1, "a")
-	ta.Accept(stepOf("s", 1, 1), Kept{}, false, now)
+	st := stepOf("s", 1, 1)
+	st.Items[1].Hint, st.Items[1].Tokens = 4000, 8000 // it runs for seconds
+	ta.Accept(st, Kept{}, false, now)
 	ta.Place(now)
 	end(ta, t, "s", 0, runner.Complete, []runner.Event{{Data: make([]byte, 300<<10), ID: 1, Version: 1}}, now)
 	return ta, ta.steps["s"]
