--- a/soak/fault.go
+++ b/soak/fault.go
@@ -57,6 +57,33 @@
 	}
 }
 
+// restartEngines crashes one engine after the other, which starts again under its
+// ID, and has another writer put entries beside those of endpoints. It draws by
+// itself, so that the other faults of a seed stay as they are.
+func (rn *run) restartEngines(ctx context.Context, length time.Duration) {
+	rng := rand.New(rand.NewPCG(rn.opts.Seed, 13))
+	for end := time.Now().Add(length); !rn.opts.Quiet && time.Now().Before(end) && ctx.Err() == nil; {
+		sleep(ctx, time.Duration(500+rng.IntN(3000))*time.Millisecond)
+		if rng.IntN(2) == 0 {
+			en := rn.world.engines[rng.IntN(len(rn.world.engines))]
+			rn.note("restart " + en.ID)
+			en.Restart()
+			continue
+		}
+		entry := foreignEntries[rng.IntN(len(foreignEntries))]
+		rn.note(fmt.Sprint("entry of another writer ", entry))
+		rn.world.operator().Scribble(ctx, fmt.Sprint("foreign-", rng.IntN(3)), entry)
+	}
+}
+
+// foreignEntries name no endpoint.
+var foreignEntries = []any{
+	nil, "text", []int{1}, map[string]any{"service": deskService, "state": "ready"},
+	map[string]any{"service": deskService, "address": 80, "zone": domain, "slots": slots, "state": "ready"},
+	map[string]any{"service": engineService, "address": "127.0.0.1:1", "zone": domain, "slots": slots, "state": "warming"},
+	map[string]any{"service": "none", "address": "127.0.0.1:1", "zone": domain, "slots": slots, "state": "ready"},
+}
+
 func (rn *run) note(name string) {
 	rn.mu.Lock()
 	defer rn.mu.Unlock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -81,8 +81,14 @@
 		defer close(troubled)
 		rn.troubleDesks(ctx, opts.Length)
 	}()
+	restarted := make(chan struct{})
+	go func() {
+		defer close(restarted)
+		rn.restartEngines(ctx, opts.Length)
+	}()
 	rn.injectAll(ctx, opts.Length)
 	<-troubled
+	<-restarted
 	sleep(ctx, settleTime)
 	rn.awaitStep(ctx)
 	cancel()
--- a/soak/world.go
+++ b/soak/world.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"wisteriacroft/directory"
+	"wisteriacroft/incarnation"
 	"wisteriacroft/platform/standin"
 )
 
@@ -143,6 +144,7 @@
 func (wo *world) beat(ctx context.Context, id, service, address string, en *standin.Engine) {
 	endpoint := directory.Endpoint{Address: address, Domain: domain, ID: id, Service: service, Slots: slots}
 	if en != nil {
+		endpoint.Incarnation = incarnation.Number(en.Born())
 		endpoint.Models = []directory.Serving{{Model: model, Version: en.Version()}}
 	}
 	wo.operator().Register(ctx, endpoint)
