--- a/soak/fault.go
+++ b/soak/fault.go
@@ -78,7 +78,9 @@
 
 // foreignEntries name no endpoint.
 var foreignEntries = []any{
-	nil, "text", []int{1}, map[string]any{"service": deskService, "state": "ready"},
+	nil, "text",
+	[]int{1},
+	map[string]any{"service": deskService, "state": "ready"},
 	map[string]any{"service": deskService, "address": 80, "zone": domain, "slots": slots, "state": "ready"},
 	map[string]any{"service": engineService, "address": "127.0.0.1:1", "zone": domain, "slots": slots, "state": "warming"},
 	map[string]any{"service": "none", "address": "127.0.0.1:1", "zone": domain, "slots": slots, "state": "ready"},
