report: what the listing itself costs a step has a cause of its own

Cause: time in which a trainer read on for results that were listed apart stood under "waiting for the trainer".

--- a/lateness/line.go
+++ b/lateness/line.go
@@ -18,7 +18,8 @@
 
 // A line is what a log line of a scheduler or an attendant says of a step.
 type line struct {
-	DueMS   int64     `json:"due-ms"` // after acceptance
+	Allowed int64     `json:"allowed-ms"` // that a reader was ready to wait
+	DueMS   int64     `json:"due-ms"`     // after acceptance
 	Events  int       `json:"events"`
 	After   int       `json:"after"` // events that earlier runs made
 	Item    string    `json:"item"`
@@ -27,6 +28,7 @@
 	Msg     string    `json:"msg"`
 	Number  int       `json:"number"`
 	Outcome string    `json:"outcome"`
+	Results int       `json:"results"` // of an answer
 	State   string    `json:"state"`
 	Step    string    `json:"step"`
 	Time    time.Time `json:"time"`
--- a/lateness/report.go
+++ b/lateness/report.go
@@ -21,12 +21,13 @@
 	Slow    Cause = "slow engine"             // beyond the day's usual pace
 	Scoring Cause = "waiting for its score"   // whole, and its reward call not answered
 	Listing Cause = "waiting for the listing" // whole and scored, and not shown yet
+	Apart   Cause = "results listed apart"    // shown, and the trainer had to read on for others or had just been answered
 	Trainer Cause = "waiting for the trainer" // shown, and the step not ended
 	Length  Cause = "its own length"          // its events at the day's usual pace
 )
 
 // causes are all causes, in the order in which an item meets them.
-var causes = []Cause{Waiting, Again, Slow, Length, Scoring, Listing, Trainer}
+var causes = []Cause{Waiting, Again, Slow, Length, Scoring, Listing, Apart, Trainer}
 
 // A lateness is a step with what its last item's time went into.
 type lateness struct {
@@ -100,11 +101,34 @@
 	}
 	la.parts[Listing] = shown.Sub(scored)
 	if !st.ended.IsZero() && st.ended.After(shown) {
-		la.parts[Trainer] = st.ended.Sub(shown)
+		la.parts[Apart] = st.apart(shown)
+		la.parts[Trainer] = st.ended.Sub(shown) - la.parts[Apart]
 	}
 	return la, true
 }
 
+// lookEvery is how long after a read that is answered a trainer reads on.
+const lookEvery = 500 * time.Millisecond
+
+// apart returns how much of the time from the showing of a step's last item to its
+// end is the listing's doing: until the last listing, and until the trainer could
+// look again if a listing had answered it just before.
+func (st *step) apart(shown time.Time) time.Duration {
+	last := shown
+	for _, at := range st.listed {
+		if at.After(last) && at.Before(st.ended) {
+			last = at
+		}
+	}
+	again := time.Duration(0)
+	for _, at := range st.answered {
+		if at.Before(last) {
+			again = max(0, lookEvery-last.Sub(at))
+		}
+	}
+	return last.Sub(shown) + min(again, st.ended.Sub(last))
+}
+
 // explainRun divides the time of a run. Events beyond those with which the item's
 // next run began were made for nothing.
 func (la *lateness) explainRun(i int, pace time.Duration) {
@@ -141,7 +165,7 @@
 	bw := bufio.NewWriter(wr) // keeps the first error for Flush
 	_, _ = fmt.Fprintf(bw, "usual pace of an event: %d ms\n\n", pace.Milliseconds())
 	_, _ = fmt.Fprintf(bw, "%-16s %-16s %4s %8s %-16s", "step", "model", "no", "took-s", "last item")
-	_, _ = fmt.Fprintf(bw, " %7s %7s %7s %7s %7s %7s %7s  %s\n", "wait", "again", "slow", "length", "score", "list", "trainer", "cause")
+	_, _ = fmt.Fprintf(bw, " %7s %7s %7s %7s %7s %7s %7s %7s  %s\n", "wait", "again", "slow", "length", "score", "list", "apart", "trainer", "cause")
 	late := map[Cause]int{}
 	for _, st := range steps {
 		la, ok := explain(st, pace)
--- a/lateness/step.go
+++ b/lateness/step.go
@@ -13,6 +13,7 @@
 	msgGivenUp  = "run given up"
 	msgListed   = "results listed"
 	msgPlaced   = "item placed"
+	msgRead     = "results read"
 	msgReward   = "reward call answered"
 	msgRunEnded = "run ended"
 	msgTaken    = "run taken over"
@@ -79,6 +80,7 @@
 type step struct {
 	id              string
 	accepted, ended time.Time
+	answered        []time.Time // reads that waited, with results
 	due             time.Duration
 	items           map[string]*item
 	listed          []time.Time
@@ -105,6 +107,10 @@
 		}
 	case msgListed:
 		st.listed = append(st.listed, li.Time)
+	case msgRead:
+		if li.Allowed > 0 && li.Results > 0 {
+			st.answered = append(st.answered, li.Time)
+		}
 	case msgPlaced:
 		st.item(li.Item).turn(li.Time, li.After, true)
 	case msgTaken:
