--- a/listing/listing.go
+++ b/listing/listing.go
@@ -22,6 +22,7 @@
 	LastCall Reason = "groups are due"
 	ReadEnds Reason = "a read ends"
 	Full     Reason = "an answer is full"
+	Renew    Reason = "the read at the end would be young"
 	Unread   Reason = "no one reads"
 )
 
@@ -49,6 +50,13 @@
 	// dueSlack is how long after a step's due time its groups still count as in
 	// time for its trainer.
 	dueSlack = 700 * time.Millisecond
+	// lookEvery is how long after it began to read a trainer looks at what it has, and
+	// reads on: a read that is younger when the step ends costs the rest of it.
+	lookEvery = 500 * time.Millisecond
+	// renewTime is what passes until a trainer that is answered reads on, and
+	// renewSpan how much older than lookEvery its next read may be at the end.
+	renewTime = 150 * time.Millisecond
+	renewSpan = 200 * time.Millisecond
 	// endsSoon is when the end is expected of a step whose reads are no longer
 	// answered with less than all: within an answer's time, and what the expected
 	// length of an item is off by in its last second.
@@ -104,6 +112,8 @@
 		return Full
 	case len(st.Reads) == 0:
 		return st.unread()
+	case st.youngAtEnd(now):
+		return Renew
 	case st.readEnds(now):
 		return ReadEnds
 	default:
@@ -141,6 +151,27 @@
 	return false
 }
 
+// youngAtEnd reports whether a read would end just before the step, and the next one
+// be young then, but would be old enough if this one were answered now.
+//
+// Reads are renewed each second from the step's acceptance on, and items of the
+// greatest length end about as long after it: three in ten steps ended just after a
+// read was renewed, half a second late.
+func (st *State) youngAtEnd(now time.Time) bool {
+	for _, rd := range st.Reads {
+		age := now.Sub(rd.Begun)
+		early := st.EndsIn - (rd.Wait - age) // by which the read ends before the step
+		if early < -renewTime || early > lookEvery+renewTime {
+			continue
+		}
+		next := st.EndsIn - max(lookEvery-age, renewTime) // age at the end of the one after it
+		if next >= lookEvery && next < lookEvery+renewSpan {
+			return true
+		}
+	}
+	return false
+}
+
 // unread decides while no read waits: of a trainer that only looks now and then, or
 // is cut off, or has waited for results and comes back.
 func (st *State) unread() Reason {
