--- a/directory/directory.go
+++ b/directory/directory.go
@@ -148,31 +148,6 @@
 	return replaced
 }
 
-// rivals reports whether an endpoint may take another one's address: as another
-// start of the same service, or of one that the configuration names.
-//
-// Entries may come from other writers. One of a service that no one has named
-// took the address of an endpoint that serves, which then got nothing.
-func (di *Directory) rivals(en, other Endpoint) bool {
-	if di.configuration == nil || en.Service == other.Service {
-		return true
-	}
-	_, named := di.configuration.Service(en.Service)
-	return named
-}
-
-// putAside keeps an endpoint that lost its address before it was known which
-// services there are.
-func (di *Directory) putAside(en Endpoint) {
-	if di.configuration != nil {
-		return
-	}
-	if di.aside == nil {
-		di.aside = map[string]Endpoint{}
-	}
-	di.aside[en.ID] = en
-}
-
 // forget drops an endpoint.
 func (di *Directory) forget(id string) {
 	if _, ok := di.endpoints[id]; ok {
--- a/directory/endpoint.go
+++ b/directory/endpoint.go
@@ -78,17 +78,3 @@
 	return en.Address != other.Address || en.Domain != other.Domain || en.Leaving != other.Leaving ||
 		en.Service != other.Service || en.Slots != other.Slots || en.Incarnation != other.Incarnation
 }
-
-// outlives reports whether the entry at an address counts rather than another
-// endpoint's there: the later start, or where that can't be told, the entry that
-// was written last. One that names no start is never taken for the newer one.
-func (en Endpoint) outlives(other Endpoint) bool {
-	switch {
-	case en.Incarnation != 0 && other.Incarnation != 0 && en.Incarnation != other.Incarnation:
-		return en.Incarnation > other.Incarnation
-	case (en.Incarnation == 0) != (other.Incarnation == 0):
-		return other.Incarnation == 0
-	default:
-		return en.Revision >= other.Revision
-	}
-}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -11,8 +11,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
-
-	"wisteriacroft/incarnation"
 )
 
 // Bounds of an attendant's work.
@@ -129,93 +127,6 @@
 	}
 }
 
-// refresh asks the engine for its report.
-func (rn *Runner) refresh(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	re, err := rn.Engine.ReportFunc(ctx)
-	rn.mu.Lock()
-	defer rn.mu.Unlock()
-	was := rn.reachable()
-	if err == nil {
-		rn.takeReport(re)
-	}
-	if is := rn.reachable(); is != was {
-		rn.Log.WithFields(logrus.Fields{"dependency": "engine", "error": err, "reachable": is}).Warn("dependency changed")
-	}
-}
-
-// takeReport takes in what the engine says of itself.
-//
-// An engine that crashes may come back under its ID. It holds no order, runs
-// nothing and its pace is not known. A report of its former start that comes late
-// says nothing of it: taken for news, an order would name a sequence that the
-// engine no longer has.
-func (rn *Runner) takeReport(re Report) {
-	born := rn.report.Incarnation
-	if born.Supersedes(re.Incarnation) {
-		rn.Log.WithFields(logrus.Fields{"born": int64(re.Incarnation), "newest": int64(born)}).Warn("report of an earlier start ignored")
-		return
-	}
-	if re.Incarnation.Supersedes(born) {
-		rn.restarted(re.Incarnation)
-	}
-	re.Incarnation = max(re.Incarnation, born)
-	rn.report, rn.reportAt = re, time.Now()
-}
-
-// restarted drops what was known of the engine's former start, and breaks the runs
-// that it was given: those that were begun before it last reported.
-func (rn *Runner) restarted(born incarnation.Number) {
-	broken := 0
-	for _, ru := range rn.runs {
-		if ru.state == Running && ru.begun.Before(rn.reportAt) {
-			ru.cancel()
-			broken++
-		}
-	}
-	rn.engine = ""
-	rn.orders.restart()
-	rn.pacer = pacer{}
-	rn.Log.WithFields(logrus.Fields{
-		"born": int64(born), "runs": broken, "report-ms": time.Since(rn.reportAt).Milliseconds(),
-	}).Warn("engine has started again")
-}
-
-func (rn *Runner) reachable() bool { return time.Since(rn.reportAt) < reachableFor }
-
-// Exchange takes what the scheduler wants done and returns what it lacks.
-func (rn *Runner) Exchange(ctx context.Context, rq ExchangeRequest) (ExchangeResponse, error) {
-	if err := rn.take(rq); err != nil {
-		return ExchangeResponse{}, err
-	}
-	rn.awaitEnd(ctx, rq.Await)
-	rn.mu.Lock()
-	defer rn.mu.Unlock()
-	return rn.response(), nil
-}
-
-// awaitEnd waits until a run ends, unless the scheduler doesn't know yet of one that
-// has.
-func (rn *Runner) awaitEnd(ctx context.Context, wait time.Duration) {
-	rn.mu.Lock()
-	ended := rn.ended
-	for _, ru := range rn.runs {
-		if ru.state != Running && ru.noted != ru.state {
-			wait = 0
-		}
-	}
-	rn.mu.Unlock()
-	if wait <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-ended:
-	case <-time.After(wait):
-	}
-}
-
 // Witness says when the scheduler last called.
 func (rn *Runner) Witness() WitnessResponse {
 	rn.mu.Lock()
@@ -392,35 +303,6 @@
 	}
 }
 
-func (rn *Runner) response() ExchangeResponse {
-	re := ExchangeResponse{
-		Boot: rn.boot, Engine: rn.engine, Ordered: rn.orders.underWay(), Reachable: rn.reachable(), Report: rn.report,
-		ReportAge: time.Since(rn.reportAt),
-	}
-	re.Report.Pace, re.Report.PaceGaps = rn.pacer.median(time.Now())
-	// Runs that have ended stay until they are listed, and need not be spoken of ten
-	// times a second meanwhile.
-	size := 0
-	for _, ru := range rn.runs {
-		if ru.state == Running {
-			re.Running++
-		}
-		if !ru.news() {
-			continue
-		}
-		if size > maxResponse {
-			continue // the next response has it
-		}
-		pr := Progress{Detail: ru.detail, Endpoint: ru.endpoint, Events: ru.events[ru.seen:], First: ru.seen, Key: ru.key, Score: ru.score, State: ru.state}
-		for _, ev := range pr.Events {
-			size += len(ev.Data)
-		}
-		pr.Events = slices.Clone(pr.Events)
-		re.Runs = append(re.Runs, pr)
-	}
-	return re
-}
-
 // ending returns what the end of a stream means.
 func ending(err error) (State, string) {
 	if errors.Is(err, io.EOF) {
