--- a/step/read.go
+++ b/step/read.go
@@ -18,7 +18,6 @@
 // read returns results, after waiting for one if need be.
 func (sc *Scheduler) read(ctx context.Context, rq ReadRequest) (Listing, error) {
 	begun := time.Now()
-	end := begun.Add(rq.Wait)
 	for {
 		sc.mu.Lock()
 		te, err := sc.current()
@@ -35,26 +34,18 @@
 			sc.mu.Unlock()
 			return sc.readEnded(ctx, te, sr, rq)
 		}
-		li := sr.listing(rq.After)
-		changed, idle := sr.changed, sr.idle
-		left := time.Until(end)
-		answer := len(li.Results) > 0 || idle || left <= 0
-		if joins := sr.joins(time.Now()); answer && rq.Wait > 0 && joins > 0 {
-			answer, left = false, joins
-		}
-		release := func(time.Time) {}
-		if !answer {
-			release = sr.hold(begun, rq.Wait)
-		}
-		sc.mu.Unlock()
-		if answer {
+		li, wait := sr.answer(rq, begun, time.Now())
+		if wait <= 0 {
+			sc.mu.Unlock()
 			sc.Log.WithFields(logrus.Fields{
 				"after": rq.After, "allowed-ms": rq.Wait.Milliseconds(), "results": len(li.Results), stepField: rq.ID,
 				"waited-ms": time.Since(begun).Milliseconds(),
 			}).Info("results read")
 			return li, nil
 		}
-		err = await(ctx, changed, left)
+		changed, release := sr.changed, sr.hold(begun, rq.Wait)
+		sc.mu.Unlock()
+		err = await(ctx, changed, wait)
 		sc.mu.Lock()
 		release(time.Now())
 		sc.mu.Unlock()
@@ -64,13 +55,27 @@
 	}
 }
 
+// answer returns what a read gets now, and for how long it is to wait for more
+// first.
+func (sr *stepRow) answer(rq ReadRequest, begun, now time.Time) (Listing, time.Duration) {
+	li := sr.listing(rq.After)
+	switch {
+	case len(li.Results) == 0 && !sr.idle:
+		return li, rq.Wait - now.Sub(begun)
+	case rq.Wait > 0:
+		return li, sr.joins(now)
+	default:
+		return li, 0
+	}
+}
+
 // await waits until results are listed or a time is over.
-func await(ctx context.Context, changed <-chan struct{}, left time.Duration) error {
+func await(ctx context.Context, changed <-chan struct{}, wait time.Duration) error {
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-changed:
-	case <-time.After(left):
+	case <-time.After(wait):
 	}
 	return nil
 }
