A trainer that reads on waits for more than it was thought to

Ruled out: listing all that becomes whole after the end, five calls a step. Change: a read that waits after it has read all that is listed ends "served".

--- a/step/listing.go
+++ b/step/listing.go
@@ -125,9 +125,13 @@
 }
 
 // hold notes that a read waits for results of the step, until released.
+//
+// A trainer that reads on, though it was listed all that it was thought to wait for,
+// waits for more: for groups that it asked for before, of which a scheduler that is
+// new does not know. Without this, what it lacked was listed a second later.
 func (sr *stepRow) hold(now time.Time, wait time.Duration) (release func(now time.Time)) {
 	rd := &listing.Read{Begun: now, Wait: wait}
-	sr.reads, sr.readAt = append(sr.reads, rd), now
+	sr.reads, sr.readAt, sr.served = append(sr.reads, rd), now, false
 	return func(now time.Time) {
 		sr.readAt = now
 		sr.reads = slices.DeleteFunc(sr.reads, func(other *listing.Read) bool { return other == rd })
--- a/step/listing_test.go
+++ b/step/listing_test.go
@@ -151,3 +151,27 @@
 	rq, _ = ta.Request("a")
 	assert.Equal(t, rq.Await, time.Duration(0), "the trainer has what it waits for")
 }
+
+func TestTrainerThatReadsOn(t *testing.T) {
+	// Symptom: a step ends a second after its last result, after a change of scheduler.
+	// Sequence: the scheduler lists as many groups as the trainer asked for; the trainer
+	// also waits for a group that it asked for before, and reads on.
+	// Cause: a step of which all that is waited for was listed was listed nothing more
+	// until a read ended.
+	now := begin
+	ta := tableOf(t, 1, "a", "b")
+	st := stepOf("s", 1, 1, 1)
+	st.Groups = 1
+	ta.Accept(st, Kept{}, false, now)
+	ta.Place(now)
+	for i, read := range []bool{false, false, true} {
+		end(ta, t, "s", i, runner.Complete, events(1, 1, 1), now)
+		if read {
+			ta.steps["s"].hold(now, time.Second)
+		}
+		chunks := ta.Due(now)
+		assert.Equal(t, len(chunks) > 0, i != 1, "%d", i)
+		ta.Listed(chunks, now)
+	}
+	assert.Equal(t, len(ta.steps["s"].results), 3)
+}
