step: a call that is young is not broken off when the service answers again

Cause, by reading: what told the others of the service's return broke off their new calls as well, which were answered and told the first in turn. Change: only calls that are older than 150 ms are broken off.

--- a/step/revival.go
+++ b/step/revival.go
@@ -37,16 +37,28 @@
 	}
 }
 
+// swallowedAfter is how old a call must be to be broken off. A younger one was made
+// after the service's return as a rule, and is answered: broken off all the same, two
+// callers would break each other's calls off in turns.
+const swallowedAfter = 150 * time.Millisecond
+
 // bound returns a context of one call, which ends when the service answers others
 // again.
 func (re *revival) bound(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
-	back := re.next()
+	begun, back := time.Now(), re.next()
 	go func() {
-		select {
-		case <-back:
-			cancel()
-		case <-ctx.Done():
+		for {
+			select {
+			case <-back:
+			case <-ctx.Done():
+				return
+			}
+			if time.Since(begun) >= swallowedAfter {
+				cancel()
+				return
+			}
+			back = re.next()
 		}
 	}()
 	return ctx, cancel
