--- a/step/listing.go
+++ b/step/listing.go
@@ -38,7 +38,8 @@
 // listState returns what decides whether a step's results are listed.
 func (sr *stepRow) listState(now time.Time) listing.State {
 	st := listing.State{
-		Age: sr.age(now), Due: sr.step.Due, ListedAge: now.Sub(sr.listedAt), ReadAge: now.Sub(sr.readAt), Satisfied: sr.sated(), Served: sr.served, Target: sr.step.Groups,
+		Age: sr.age(now), Due: sr.step.Due, ListedAge: now.Sub(sr.listedAt), ReadAge: now.Sub(sr.readAt),
+		Satisfied: sr.sated(), Served: sr.served, Target: sr.step.Groups,
 	}
 	for _, rd := range sr.reads {
 		st.Reads = append(st.Reads, *rd)
@@ -86,8 +87,11 @@
 	return max(must, others[min(missing, len(others))-1])
 }
 
-// runsFor returns how long an item is expected to run still.
+// runsFor returns how long an item is expected to take still.
 func (ta *Table) runsFor(ir *itemRow, now time.Time) time.Duration {
+	if ir.state == scoring {
+		return ir.step.rewards.usual()
+	}
 	en := ta.engines[ir.run.engine]
 	if ir.state != running || en == nil || en.base == 0 {
 		return ir.expectedTime()
--- a/step/listing_test.go
+++ b/step/listing_test.go
@@ -175,3 +175,15 @@
 	}
 	assert.Equal(t, len(ta.steps["s"].results), 3)
 }
+
+func TestEndOfItemsThatAreScored(t *testing.T) {
+	// A text that waits for its score is expected to be listed as soon as others were,
+	// not to run as long again.
+	ta := tableOf(t, 1, "a")
+	ta.Accept(scored(stepOf("s", 1)), Kept{}, false, begin)
+	ta.Place(begin)
+	end(ta, t, "s", 0, runner.Complete, events(1, 100, 1), begin)
+	sr := ta.steps["s"]
+	assert.Equal(t, sr.items[0].state, scoring)
+	assert.Equal(t, ta.endsIn(sr, begin), usualReward)
+}
