--- a/soak/fault.go
+++ b/soak/fault.go
@@ -57,18 +57,24 @@
 	}
 }
 
-// restartEngines crashes one engine after the other, which starts again under its
+// restartEndpoints crashes one endpoint after the other, which starts again under its
 // ID, and has another writer put entries beside those of endpoints. It draws by
 // itself, so that the other faults of a seed stay as they are.
-func (rn *run) restartEngines(ctx context.Context, length time.Duration) {
+func (rn *run) restartEndpoints(ctx context.Context, length time.Duration) {
 	rng := rand.New(rand.NewPCG(rn.opts.Seed, 13))
 	for end := time.Now().Add(length); !rn.opts.Quiet && time.Now().Before(end) && ctx.Err() == nil; {
 		sleep(ctx, time.Duration(500+rng.IntN(3000))*time.Millisecond)
-		if rng.IntN(2) == 0 {
+		switch rng.IntN(3) {
+		case 0:
 			en := rn.world.engines[rng.IntN(len(rn.world.engines))]
 			rn.note("restart " + en.ID)
 			en.Restart()
 			continue
+		case 1:
+			de := rn.world.desks[rng.IntN(desks)]
+			rn.note("restart " + de.ID)
+			de.Restart()
+			continue
 		}
 		entry := foreignEntries[rng.IntN(len(foreignEntries))]
 		rn.note(fmt.Sprint("entry of another writer ", entry))
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -84,7 +84,7 @@
 	restarted := make(chan struct{})
 	go func() {
 		defer close(restarted)
-		rn.restartEngines(ctx, opts.Length)
+		rn.restartEndpoints(ctx, opts.Length)
 	}()
 	rn.injectAll(ctx, opts.Length)
 	<-troubled
--- a/soak/world.go
+++ b/soak/world.go
@@ -70,7 +70,7 @@
 	for i := range desks {
 		de := &standin.Desk{ID: fmt.Sprint("desk-", i)}
 		wo.desks = append(wo.desks, de)
-		if err := wo.register(ctx, de.ID, deskService, wo.ip(1, i), de, nil); err != nil {
+		if err := wo.register(ctx, de.ID, deskService, wo.ip(1, i), de, de.Born, nil); err != nil {
 			return err
 		}
 	}
@@ -80,7 +80,7 @@
 			Model: model, Slots: slots, Text: textOf,
 		}
 		wo.engines = append(wo.engines, en)
-		if err := wo.register(ctx, en.ID, engineService, wo.ip(2, i), en, en); err != nil {
+		if err := wo.register(ctx, en.ID, engineService, wo.ip(2, i), en, en.Born, en); err != nil {
 			return err
 		}
 	}
@@ -120,7 +120,7 @@
 }
 
 // register serves an endpoint behind a proxy, and keeps its entry in the store.
-func (wo *world) register(ctx context.Context, id, service, ip string, ha http.Handler, en *standin.Engine) error {
+func (wo *world) register(ctx context.Context, id, service, ip string, ha http.Handler, born func() int64, en *standin.Engine) error {
 	target, err := wo.serve(ip+":0", ha)
 	if err != nil {
 		return err
@@ -133,7 +133,7 @@
 	wo.beats.Go(func() {
 		for ctx.Err() == nil {
 			if _, hidden := wo.silent.Load(id); !hidden {
-				wo.beat(ctx, id, service, pr.address(), en)
+				wo.beat(ctx, id, service, pr.address(), born(), en)
 			}
 			sleep(ctx, heartbeat)
 		}
@@ -141,10 +141,11 @@
 	return nil
 }
 
-func (wo *world) beat(ctx context.Context, id, service, address string, en *standin.Engine) {
-	endpoint := directory.Endpoint{Address: address, Domain: domain, ID: id, Service: service, Slots: slots}
+func (wo *world) beat(ctx context.Context, id, service, address string, born int64, en *standin.Engine) {
+	endpoint := directory.Endpoint{
+		Address: address, Domain: domain, ID: id, Incarnation: incarnation.Number(born), Service: service, Slots: slots,
+	}
 	if en != nil {
-		endpoint.Incarnation = incarnation.Number(en.Born())
 		endpoint.Models = []directory.Serving{{Model: model, Version: en.Version()}}
 	}
 	wo.operator().Register(ctx, endpoint)
--- a/step/load_test.go
+++ b/step/load_test.go
@@ -63,7 +63,7 @@
 const (
 	baseline policy = "baseline" // the freest engine takes an item, and keeps it
 	chosen   policy = "chosen"
-	known    policy = "known" // the chosen one, and it knows how long each item is
+	known    policy = "known" // the chosen one, and it knows how long each item is and how fast each engine
 )
 
 // patterns are the loads that placing was made for.
@@ -142,6 +142,7 @@
 // run replays the pattern with a seed.
 func (pa *pattern) run(seed uint64, po policy) outcome {
 	re := pa.newReplay(seed)
+	re.known = po == known
 	for _, tr := range re.trainers {
 		tr.exact = po == known
 	}
--- a/step/replay_test.go
+++ b/step/replay_test.go
@@ -12,6 +12,7 @@
 // second tick, and trainers that ask for steps and end them.
 type replay struct {
 	baseline bool // no run is moved, and the freest engine is taken
+	known    bool // engines' paces are known as they change
 	engines  []*simEngine
 	now      time.Time
 	sheet    simSheet
@@ -96,6 +97,9 @@
 		}
 		ta.Silence(re.now)
 		ta.Paces(re.now)
+		if re.known {
+			re.tellPaces()
+		}
 		ta.GiveUp(re.now)
 		if !re.baseline {
 			ta.Move(re.now)
@@ -113,6 +117,19 @@
 	}
 }
 
+// tellPaces tells the table the pace of each engine as it is.
+func (re *replay) tellPaces() {
+	bases := map[string][]time.Duration{}
+	for _, se := range re.engines {
+		en := re.table.engines[se.id]
+		en.base = time.Duration(0.592 * float64(re.sheet.eventTokens) * se.factor * float64(time.Millisecond))
+		bases[en.service] = append(bases[en.service], en.base)
+	}
+	for service, all := range bases {
+		re.table.bases[service], re.table.bests[service] = median(all), all[0]
+	}
+}
+
 func mean(took []time.Duration) time.Duration {
 	total := time.Duration(0)
 	for _, t := range took {
