--- a/forward/call.go
+++ b/forward/call.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"wisteriacroft/directory"
+	"wisteriacroft/quarantine"
 )
 
 // callTimeout bounds a call whose route names no timeout: four times what a
@@ -77,6 +78,7 @@
 		body: ca.Body, header: http.Header{}, host: ca.Host, id: ca.ID, method: http.MethodPost, received: time.Now(),
 		route: ro, service: pickShare(ro.Shares), target: ca.Path,
 	}
+	rq.digest = quarantine.DigestOf(rq.host, rq.method, rq.target, rq.body)
 	rq.setDeadline(callTimeout)
 	ctx, answered := boundBy(ctx, rq.deadline)
 	fo.Budget.First()
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -39,6 +39,10 @@
 // requestField is the field of log lines that holds a request's id.
 const requestField = "request"
 
+// digestField is the field of log lines that holds what a request asks for: the
+// same for all tries of its client.
+const digestField = "digest"
+
 // A Forwarder serves live requests. Fill the exported fields before use.
 type Forwarder struct {
 	Directory *directory.Directory
@@ -89,7 +93,7 @@
 	}
 	fo.count("failed")
 	lo.WithFields(logrus.Fields{
-		"error": re.err, "not-run": re.notRun, "tried": slices.Sorted(maps.Keys(re.tried)),
+		digestField: rq.digest, "error": re.err, "not-run": re.notRun, "tried": slices.Sorted(maps.Keys(re.tried)),
 		"version": fo.Directory.Configuration().Version,
 	}).Warn("not served")
 	if re.notRun {
@@ -167,8 +171,9 @@
 	case re.err != nil, re.status == http.StatusMisdirectedRequest:
 		penalty := fo.table.Failed(id, now)
 		fo.Log.WithFields(logrus.Fields{
-			"endpoint": id, "error": re.err, "penalty": penalty.String(), requestField: rq.id, "status": re.status,
+			digestField: rq.digest, "endpoint": id, "error": re.err, "penalty": penalty.String(), requestField: rq.id, "status": re.status,
 		}).Warn("endpoint failed")
+		fo.suspect(ctx, rq, re)
 	default:
 		lo, ok := parseLoad(re.header.Get(fo.Headers.Load))
 		fo.table.Answered(id, re.took, lo, ok, now)
--- a/forward/request.go
+++ b/forward/request.go
@@ -10,12 +10,14 @@
 	"github.com/cockroachdb/errors"
 
 	"wisteriacroft/directory"
+	"wisteriacroft/quarantine"
 )
 
 // A request is one caller's request, checked and read whole.
 type request struct {
 	body     []byte
 	deadline time.Time
+	digest   quarantine.Digest
 	header   http.Header // those that cross a hop
 	host     string
 	id       string
@@ -63,6 +65,7 @@
 	if err != nil {
 		return nil, &rejection{reason: err.Error(), status: BodyStatus(err)}
 	}
+	rq.digest = quarantine.DigestOf(rq.host, rq.method, rq.target, rq.body)
 	return rq, nil
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -37,7 +37,7 @@
 		fo.table.Done(re.endpoint.ID)
 		last = max(last, seen)
 		lo := fo.Log.WithFields(logrus.Fields{
-			"endpoint": re.endpoint.ID, "last-event": last, requestField: rq.id, "route": rq.route.Name,
+			digestField: rq.digest, "endpoint": re.endpoint.ID, "last-event": last, requestField: rq.id, "route": rq.route.Name,
 		})
 		if err == nil {
 			lo.Info("stream ended")
@@ -45,6 +45,8 @@
 			return
 		}
 		lo.WithError(err).Warn("stream broke")
+		re.err = err
+		fo.suspect(ctx, rq, re)
 		if !rq.repeatable() || hr.Context().Err() != nil {
 			fo.count("failed")
 			panic(http.ErrAbortHandler) // an answer that ends early must not look whole
@@ -82,7 +84,7 @@
 func (fo *Forwarder) endStream(rw http.ResponseWriter, rq *request, re *result, begun bool) {
 	fo.count("failed")
 	fo.Log.WithFields(logrus.Fields{
-		"begun": begun, "error": re.err, "not-run": re.notRun, requestField: rq.id, "status": re.status,
+		"begun": begun, digestField: rq.digest, "error": re.err, "not-run": re.notRun, requestField: rq.id, "status": re.status,
 	}).Warn("stream not served")
 	switch {
 	case begun:
--- /dev/null
+++ b/quarantine/digest.go
@@ -0,0 +1,30 @@
+// Package quarantine tells requests that bring their endpoints down from others,
+// and keeps them from the endpoints that are left.
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+// digestSize is the length of a digest in bytes: enough that no one finds two
+// requests with the same one.
+const digestSize = 16
+
+// A Digest identifies what a request asks for. Each try of a client has an ID of
+// its own; its digest stays the same.
+type Digest string
+
+// DigestOf returns the digest of a request to a host; target is its path and
+// query.
+func DigestOf(host, method, target string, body []byte) Digest {
+	ha := sha256.New()
+	for _, part := range [][]byte{[]byte(host), []byte(method), []byte(target), body} {
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(part))) // so that no two lists of parts read the same
+		_, _ = ha.Write(size[:])                               // never fails
+		_, _ = ha.Write(part)
+	}
+	return Digest(hex.EncodeToString(ha.Sum(nil)[:digestSize]))
+}
