--- a/cmd/soakcmd.go
+++ b/cmd/soakcmd.go
@@ -19,6 +19,7 @@
 
 // A SoakCmd runs the real programs before stand-ins, under faults from outside.
 type SoakCmd struct {
+	Crashes bool          `help:"Send a request that ends each plain endpoint that runs it, again and again."`
 	Dir     string        `help:"Folder for settings and logs." placeholder:"DIR" required:""`
 	Engines int           `default:"6" help:"Engines, with an attendant each."`
 	Entries int           `default:"3" help:"Entries."`
@@ -37,7 +38,7 @@
 	broken := false
 	for seed := sc.Seed; seed < sc.Seed+uint64(sc.Seeds) && ctx.Err() == nil; seed++ {
 		re, err := soak.Run(ctx, soak.Options{
-			Binary: binary, Dir: filepath.Join(sc.Dir, fmt.Sprint("seed-", seed)), Engines: sc.Engines,
+			Binary: binary, Crashes: sc.Crashes, Dir: filepath.Join(sc.Dir, fmt.Sprint("seed-", seed)), Engines: sc.Engines,
 			Entries: sc.Entries, Length: sc.For, Quiet: sc.Quiet, Seed: seed,
 		})
 		if err != nil {
--- /dev/null
+++ b/forward/crash_test.go
@@ -0,0 +1,137 @@
+package forward
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriacroft/directory"
+)
+
+// crashBody is the body of the request that ends any endpoint that runs it.
+const crashBody = "crash"
+
+// A crashDesk is an endpoint that ends under a request with crashBody. It starts
+// again at its address, under another ID.
+type crashDesk struct {
+	address string
+	crashed atomic.Bool
+	server  *httptest.Server
+	starts  int
+}
+
+// start starts the endpoint, if it is down, and registers it.
+func (cd *crashDesk) start(t *testing.T, de *deployment, number int) {
+	t.Helper()
+	if cd.starts > 0 && !cd.crashed.Load() {
+		return
+	}
+	if cd.crashed.Load() {
+		cd.server.Close() // waits for the request under which it ended
+		de.forwarder.Directory.RemoveEndpoint(cd.id(number), time.Now())
+	}
+	address := cd.address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	var lc net.ListenConfig
+	li, err := lc.Listen(t.Context(), "tcp", address)
+	assert.NilError(t, err)
+	sv := httptest.NewUnstartedServer(http.HandlerFunc(func(rw http.ResponseWriter, rq *http.Request) {
+		body, _ := io.ReadAll(rq.Body)
+		if string(body) == crashBody {
+			de.runs.Add(1)
+			cd.crashed.Store(true)
+			_ = li.Close()
+			panic(http.ErrAbortHandler)
+		}
+		sign(rw, rq)
+		_, _ = fmt.Fprintf(rw, "%s %s", rq.Method, body)
+	}))
+	assert.NilError(t, sv.Listener.Close())
+	sv.Listener = li
+	sv.Start()
+	cd.address, cd.server = li.Addr().String(), sv
+	cd.crashed.Store(false)
+	cd.starts++
+	de.forwarder.Directory.SetEndpoint(directory.Endpoint{Address: cd.address, ID: cd.id(number), Service: "desk", Slots: 6})
+}
+
+func (cd *crashDesk) id(number int) string { return fmt.Sprintf("endpoint-%d-%d", number, cd.starts) }
+
+func TestRequestThatEndsItsEndpoints(t *testing.T) {
+	// Order lines were refused for seconds, three times a minute: all order desks
+	// were down. One request came again and again, each time with another id, and
+	// each endpoint ended some 50 ms after it had begun to run it. The entry took
+	// every try for a new request and a broken connection for the endpoint's own
+	// failure, so that it sent each try to as many endpoints as the route allows:
+	//
+	//	37.1435 front-1 endpoint failed  "Post /hulo760/d4f238": EOF  endpoint=i-7c2671a1e3
+	//	37.2136 front-1 endpoint failed  "Post /hulo760/d4f238": EOF  endpoint=i-fa00485193
+	//	37.4013 front-1 endpoint failed  "Post /hulo760/d4f238": EOF  endpoint=i-b08fca93d4
+	//	41.0466 front-2 endpoint failed  "Post /hulo760/d4f238": EOF  endpoint=i-1190627744
+	//
+	// Twelve endpoints ended under it; three tell what it does.
+	const tries, enough = 8, 3
+	for _, tc := range []struct {
+		name  string
+		route directory.Route
+	}{
+		{"repeatable", directory.Route{Kind: directory.Repeatable, MaxAttempts: 2}},
+		{"repeatable, many attempts", directory.Route{Kind: directory.Repeatable, MaxAttempts: 5}},
+		{"once", directory.Route{Kind: directory.Once, MaxAttempts: 2}},
+		{"stream", directory.Route{MaxAttempts: 2, Streaming: true}},
+		{"stream that may go on", directory.Route{MaxAttempts: 2, Resumable: true, Streaming: true}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			de := deploy(t, tc.route)
+			desks := make([]crashDesk, 3)
+			restart := func() {
+				for i := range desks {
+					desks[i].start(t, de, i)
+				}
+			}
+			t.Cleanup(func() {
+				for i := range desks {
+					desks[i].server.Close()
+				}
+			})
+			for range tries {
+				restart()
+				status, _, _ := de.ask(t, http.MethodPost, "/a", crashBody)
+				assert.Assert(t, status >= http.StatusInternalServerError, "%d", status)
+			}
+			assert.Assert(t, de.runs.Load() <= enough, "%d endpoints ended", de.runs.Load())
+			restart()
+			status, answer, _ := de.ask(t, http.MethodPost, "/a", "another line")
+			assert.Equal(t, status, http.StatusOK, "other requests are served")
+			assert.Equal(t, answer, "POST another line")
+		})
+	}
+}
+
+func TestCallThatEndsItsEndpoints(t *testing.T) {
+	// As in TestRequestThatEndsItsEndpoints, by a reward call: the scheduler makes
+	// it again each second until its step ends.
+	de := deploy(t, directory.Route{Kind: directory.Repeatable, MaxAttempts: 2})
+	desks := make([]crashDesk, 3)
+	for range 8 {
+		for i := range desks {
+			desks[i].start(t, de, i)
+		}
+		re := de.forwarder.Call(t.Context(), Call{Body: []byte(crashBody), Host: "desk", ID: "call", Path: "/a"})
+		assert.Assert(t, strings.Contains("broken not-run", re.Outcome()), re.Outcome())
+	}
+	for i := range desks {
+		desks[i].server.Close()
+	}
+	assert.Assert(t, de.runs.Load() <= 3, "%d endpoints ended", de.runs.Load())
+}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -45,11 +45,15 @@
 		return nil, err
 	}
 	pr := &proxy{conns: map[net.Conn]bool{}, listener: li, target: target}
-	go pr.accept()
+	go pr.accept(li)
 	return pr, nil
 }
 
-func (pr *proxy) address() string { return pr.listener.Addr().String() }
+func (pr *proxy) address() string {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	return pr.listener.Addr().String()
+}
 
 func (pr *proxy) set(mo mode) { pr.mode.Store(int32(mo)) }
 
@@ -62,11 +66,33 @@
 	}
 }
 
-func (pr *proxy) close() {
-	_ = pr.listener.Close()
+// crash ends what listens, so that connections are refused until revive.
+func (pr *proxy) crash() {
+	pr.mu.Lock()
+	li := pr.listener
+	pr.mu.Unlock()
+	_ = li.Close()
 	pr.reset()
 }
 
+// revive listens at the address again.
+func (pr *proxy) revive() error {
+	var lc net.ListenConfig
+	li, err := lc.Listen(context.Background(), "tcp", pr.address())
+	if err != nil {
+		return err
+	}
+	pr.mu.Lock()
+	pr.listener = li
+	pr.mu.Unlock()
+	go pr.accept(li)
+	return nil
+}
+
+func (pr *proxy) close() {
+	pr.crash()
+}
+
 func resetConn(co net.Conn) {
 	if tc, ok := co.(*net.TCPConn); ok {
 		_ = tc.SetLinger(0) // so that the close is a reset
@@ -74,9 +100,9 @@
 	_ = co.Close()
 }
 
-func (pr *proxy) accept() {
+func (pr *proxy) accept(li net.Listener) {
 	for {
-		co, err := pr.listener.Accept()
+		co, err := li.Accept()
 		if err != nil {
 			return
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -18,6 +18,7 @@
 // Options say what a soak does.
 type Options struct {
 	Binary  string // the program
+	Crashes bool   // a request that ends each plain endpoint that runs it comes again and again
 	Dir     string // for settings and logs
 	Engines int    // with an attendant each
 	Entries int
@@ -28,11 +29,12 @@
 
 // A Report is what a soak saw.
 type Report struct {
-	Calls      int      `json:"calls"`  // that callers made
-	Served     int      `json:"served"` // of them
-	Faults     []string `json:"faults"` // with their times
-	Items      int      `json:"items"`  // results that were read
-	Steps      int      `json:"steps"`  // that were whole
+	Calls      int      `json:"calls"`             // that callers made
+	Served     int      `json:"served"`            // of them
+	Crashes    int      `json:"crashes,omitempty"` // endpoints that ended under one request
+	Faults     []string `json:"faults"`            // with their times
+	Items      int      `json:"items"`             // results that were read
+	Steps      int      `json:"steps"`             // that were whole
 	Violations []string `json:"violations"`
 }
 
@@ -86,7 +88,13 @@
 		defer close(restarted)
 		rn.restartEndpoints(ctx, opts.Length)
 	}()
+	crashed := make(chan struct{})
+	go func() {
+		defer close(crashed)
+		rn.crashDesks(ctx, opts.Length)
+	}()
 	rn.injectAll(ctx, opts.Length)
+	<-crashed
 	<-troubled
 	<-restarted
 	sleep(ctx, settleTime)
@@ -98,6 +106,7 @@
 		check()
 	}
 	rn.judge()
+	rn.judgeCrashes()
 	slices.Sort(rn.report.Violations)
 	return rn.report, nil
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -73,6 +73,7 @@
 		if err := wo.register(ctx, de.ID, deskService, wo.ip(1, i), de, de.Born, nil); err != nil {
 			return err
 		}
+		wo.crashWith(de, wo.proxies[i])
 	}
 	for i := range opts.Engines {
 		en := &standin.Engine{
