Failing test: an item that ends the engines that run it

The same cause elsewhere: the scheduler requeues an item whose engine ended at once and counts nothing.

The soak's crash scenario has such an item now, so that the test of all entries, green for requests, is red too.

--- a/cmd/soakcmd.go
+++ b/cmd/soakcmd.go
@@ -19,7 +19,7 @@
 
 // A SoakCmd runs the real programs before stand-ins, under faults from outside.
 type SoakCmd struct {
-	Crashes bool          `help:"Send a request that ends each plain endpoint that runs it, again and again."`
+	Crashes bool          `help:"Send a request that ends each plain endpoint that runs it again and again, and an item that ends engines."`
 	Dir     string        `help:"Folder for settings and logs." placeholder:"DIR" required:""`
 	Engines int           `default:"6" help:"Engines, with an attendant each."`
 	Entries int           `default:"3" help:"Entries."`
--- a/cmd/soakcmd_test.go
+++ b/cmd/soakcmd_test.go
@@ -49,3 +49,12 @@
 	re := soakReport(t, "--quiet", "--crashes", "--for", "12s", "--seed", "2", "--engines", "2", "--entries", "3")
 	assert.Assert(t, re.Crashes > 0 && re.Served > 0 && re.Steps > 0, "%+v", re)
 }
+
+func TestItemThatEndsItsEngines(t *testing.T) {
+	// An item whose engine ends goes on at another one. An item that ends the
+	// engines that run it goes through all of them, each with the runs of a dozen
+	// other items, until its step ends: its runs "broken: read the answer: EOF" were
+	// requeued at once, without anyone counting them.
+	re := soakReport(t, "--quiet", "--crashes", "--for", "2s", "--seed", "3", "--engines", "4", "--entries", "1")
+	assert.Assert(t, re.EngineCrashes >= 3 && re.EngineCrashes <= 6 && re.Steps > 0, "%+v", re)
+}
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -17,6 +17,8 @@
 const (
 	// crashPrefix begins the ids of the tries of the request that ends endpoints.
 	crashPrefix = "crash-"
+	// crashItem is the item that ends the engines that run it.
+	crashItem = "step-0-0-0"
 	// crashPause is between two tries of it.
 	crashPause = 400 * time.Millisecond
 	// downTime is after how long an endpoint that ended starts again.
@@ -29,16 +31,23 @@
 	moreCrashes   = 3
 )
 
-// crashWith makes a plain endpoint end, and start again after a while, whenever
-// it runs a request that crashes it.
-func (wo *world) crashWith(de *standin.Desk, pr *proxy) {
-	de.CrashFunc = func() {
-		de.Restart()
+// crashFunc returns what ends an endpoint, which starts again after a while.
+func crashFunc(restart func(), pr *proxy) func() {
+	return func() {
+		restart()
 		pr.crash()
 		time.AfterFunc(downTime, func() { _ = pr.revive() }) // stays down if the port is taken, which the callers' check shows
 	}
 }
 
+// bodyOf returns the body of an item.
+func (rn *run) bodyOf(item string) []byte {
+	if rn.opts.Crashes && item == crashItem {
+		return []byte(standin.CrashBody)
+	}
+	return []byte(item)
+}
+
 // crashDesks sends one request that ends each plain endpoint that runs it, at one
 // entry after the other. Without other faults, half-way through all programs are
 // killed at once, and later the store goes away for a while.
@@ -71,13 +80,26 @@
 // judgeCrashes checks that a request that ends its endpoints does not go on to
 // reach them. Each other fault may keep one process from hearing of it for a while.
 func (rn *run) judgeCrashes() {
-	var runs []time.Time
+	var requests, items []time.Time
 	for _, no := range rn.deskNotes() {
 		if strings.HasPrefix(no.ID, crashPrefix) {
-			runs = append(runs, no.At)
+			requests = append(requests, no.At)
 		}
 	}
-	rn.report.Crashes = len(runs)
+	for _, en := range rn.world.engines {
+		for _, no := range en.Notes() {
+			if rn.opts.Crashes && no.ID == crashItem {
+				items = append(items, no.At)
+			}
+		}
+	}
+	rn.report.Crashes, rn.report.EngineCrashes = len(requests), len(items)
+	rn.checkCrashes("request", requests)
+	rn.checkCrashes("item", items)
+}
+
+// checkCrashes checks the times at which what ends its endpoints reached them.
+func (rn *run) checkCrashes(what string, runs []time.Time) {
 	if len(runs) < enoughCrashes {
 		return
 	}
@@ -94,6 +116,6 @@
 		allowed += len(rn.report.Faults)
 	}
 	if later > allowed {
-		rn.violate("a request under which %d endpoints had ended was sent to endpoints %d times more, %d in all", enoughCrashes, later, len(runs))
+		rn.violate("%s under which %d endpoints had ended was sent to endpoints %d times more, %d in all", what, enoughCrashes, later, len(runs))
 	}
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -18,7 +18,7 @@
 // Options say what a soak does.
 type Options struct {
 	Binary  string // the program
-	Crashes bool   // a request that ends each plain endpoint that runs it comes again and again
+	Crashes bool   // a request that ends each plain endpoint that runs it comes again and again, and an item that ends engines
 	Dir     string // for settings and logs
 	Engines int    // with an attendant each
 	Entries int
@@ -29,13 +29,14 @@
 
 // A Report is what a soak saw.
 type Report struct {
-	Calls      int      `json:"calls"`             // that callers made
-	Served     int      `json:"served"`            // of them
-	Crashes    int      `json:"crashes,omitempty"` // endpoints that ended under one request
-	Faults     []string `json:"faults"`            // with their times
-	Items      int      `json:"items"`             // results that were read
-	Steps      int      `json:"steps"`             // that were whole
-	Violations []string `json:"violations"`
+	Calls         int      `json:"calls"`                    // that callers made
+	Served        int      `json:"served"`                   // of them
+	Crashes       int      `json:"crashes,omitempty"`        // endpoints that ended under one request
+	EngineCrashes int      `json:"engine_crashes,omitempty"` // engines that ended under one item
+	Faults        []string `json:"faults"`                   // with their times
+	Items         int      `json:"items"`                    // results that were read
+	Steps         int      `json:"steps"`                    // that were whole
+	Violations    []string `json:"violations"`
 }
 
 // A run is one soak under way.
--- a/soak/trainer.go
+++ b/soak/trainer.go
@@ -55,7 +55,7 @@
 		for i := range groupSize {
 			item := fmt.Sprintf("%s-%d-%d", id, group, i)
 			st.Items = append(st.Items, step.Item{
-				Body: []byte(item), Group: fmt.Sprint("g", group), ID: item,
+				Body: rn.bodyOf(item), Group: fmt.Sprint("g", group), ID: item,
 				Path: "/steps/" + item, Prompt: 10, Reward: rewardCall(item), Tokens: 2010,
 			})
 		}
--- a/soak/world.go
+++ b/soak/world.go
@@ -73,7 +73,7 @@
 		if err := wo.register(ctx, de.ID, deskService, wo.ip(1, i), de, de.Born, nil); err != nil {
 			return err
 		}
-		wo.crashWith(de, wo.proxies[i])
+		de.CrashFunc = crashFunc(de.Restart, wo.proxies[i])
 	}
 	for i := range opts.Engines {
 		en := &standin.Engine{
@@ -84,6 +84,7 @@
 		if err := wo.register(ctx, en.ID, engineService, wo.ip(2, i), en, en.Born, en); err != nil {
 			return err
 		}
+		en.CrashFunc = crashFunc(en.Restart, wo.proxies[desks+i])
 	}
 	if err := wo.configure(ctx); err != nil {
 		return err
