Items that end their engines rest between runs

A run whose engine ended was requeued like one whose connection broke, and no one counted. Ruled out: counting broken runs alone.

Change: the attendant looks whether its engine still listens when a run breaks, and says so; the scheduler notes it in the quarantine, which outlives it. After three engines an item rests 4 s between runs, after six it is barred. That is more than a caller's request has, as its trainer can't ask again; the 4 s keep it from being without an engine for long before it is barred.

--- a/forward/ended.go
+++ b/forward/ended.go
@@ -3,43 +3,24 @@
 import (
 	"context"
 	"fmt"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
-	"wisteriacroft/directory"
 	"wisteriacroft/quarantine"
+	"wisteriacroft/roundtrip"
 )
 
-// endedTimeout bounds the look whether an endpoint's process has ended: a
-// connection to one in another failure domain takes 2 ms to open or to be
-// refused.
-const endedTimeout = 100 * time.Millisecond
-
-// ended reports whether an endpoint's process has ended: its host refuses
-// connections.
-//
-// An exchange also breaks because one connection is reset or an answer spoilt,
-// which says nothing of the request. Only the end of the process does.
-func (fo *Forwarder) ended(ctx context.Context, en directory.Endpoint) bool {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endedTimeout)
-	defer cancel()
-	co, err := Dialer().DialContext(ctx, "tcp", en.Address)
-	if err == nil {
-		_ = co.Close()
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // suspect notes whether an endpoint ended while it ran a request.
 func (fo *Forwarder) suspect(ctx context.Context, rq *request, re *result) {
-	if !errors.Is(re.err, errBroken) || !fo.ended(ctx, re.endpoint) {
+	if !errors.Is(re.err, errBroken) || !roundtrip.Ended(ctx, re.endpoint.Address) {
 		return
 	}
 	start := fmt.Sprintf("%s/%d", re.endpoint.ID, re.endpoint.Incarnation)
-	ve := fo.quarantine().Strike(rq.digest, start, time.Now())
+	now := time.Now()
+	fo.quarantine().Strike(rq.digest, start, now)
+	ve := fo.quarantine().Judge(rq.digest, now)
 	fo.Log.WithFields(logrus.Fields{
 		digestField: rq.digest, "endpoint": re.endpoint.ID, "held-ms": ve.HeldFor.Milliseconds(), "ms": re.took.Milliseconds(),
 		"path": rq.target, requestField: rq.id, "strikes": ve.Strikes,
--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -19,8 +19,19 @@
 // DigestOf returns the digest of a request to a host; target is its path and
 // query.
 func DigestOf(host, method, target string, body []byte) Digest {
+	return digestOf([]byte(host), []byte(method), []byte(target), body)
+}
+
+// DigestOfItem returns the digest of an item of a step. Items keep their IDs when
+// they come again. Those of a group may ask for the same, and run at many engines
+// at once: taken for one, they would rest after any three of these had ended.
+func DigestOfItem(host, id, path string, body []byte) Digest {
+	return digestOf([]byte(host), []byte("item"), []byte(id), []byte(path), body)
+}
+
+func digestOf(parts ...[]byte) Digest {
 	ha := sha256.New()
-	for _, part := range [][]byte{[]byte(host), []byte(method), []byte(target), body} {
+	for _, part := range parts {
 		var size [8]byte
 		binary.BigEndian.PutUint64(size[:], uint64(len(part))) // so that no two lists of parts read the same
 		_, _ = ha.Write(size[:])                               // never fails
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -22,6 +22,16 @@
 	suspectLife = 10 * time.Minute
 	// barStrikes is how many endpoints may end under a request before it is barred.
 	barStrikes = 3
+	// itemRestStrikes is how many engines may end under an item of a step before it
+	// rests between its runs: an item lasts some seconds, and two engines may end in
+	// them for reasons of their own. It rests for itemRest, so that no more than two
+	// engines of a fleet are down for it.
+	itemRestStrikes = 3
+	itemRest        = 4 * time.Second
+	// itemBarStrikes is how many engines may end before the item is barred. It is
+	// given more tries than a caller's request, since its trainer waits for it and
+	// can't ask again.
+	itemBarStrikes = 6
 	// barTime is for how long it is: a day, in which its owners can mend it or the
 	// service.
 	barTime = 24 * time.Hour
@@ -79,15 +89,28 @@
 	return now.Sub(time.UnixMilli(max(last, ro.answered))) > life
 }
 
+// A policy says how long something rests after the last endpoint that ended under
+// it.
+type policy struct {
+	bar  int // endpoints after which it rests for barTime
+	rest time.Duration
+	some int // endpoints after which it rests for rest
+}
+
+var (
+	requestPolicy = policy{bar: barStrikes, rest: suspectRest, some: suspectStrikes}
+	itemPolicy    = policy{bar: itemBarStrikes, rest: itemRest, some: itemRestStrikes}
+)
+
 // judge returns what may be done with the request.
-func (ro *row) judge(now time.Time) Verdict {
+func (ro *row) judge(po policy, now time.Time) Verdict {
 	strikes, last := ro.standing()
 	rest := time.Duration(0)
 	switch {
-	case strikes >= barStrikes:
+	case strikes >= po.bar:
 		rest = barTime
-	case strikes >= suspectStrikes:
-		rest = suspectRest
+	case strikes >= po.some:
+		rest = po.rest
 	}
 	// Seen by a clock that is ahead, an end holds its request for no longer.
 	held := min(rest-now.Sub(time.UnixMilli(last)), rest)
@@ -106,27 +129,26 @@
 }
 
 // Judge returns what may be done with a request now.
-func (ta *Table) Judge(di Digest, now time.Time) Verdict {
+func (ta *Table) Judge(di Digest, now time.Time) Verdict { return ta.judge(di, requestPolicy, now) }
+
+// JudgeItem returns what may be done with an item of a step now.
+func (ta *Table) JudgeItem(di Digest, now time.Time) Verdict { return ta.judge(di, itemPolicy, now) }
+
+func (ta *Table) judge(di Digest, po policy, now time.Time) Verdict {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	ro := ta.rows[di]
 	if ro == nil || ro.expired(now) {
 		return Verdict{}
 	}
-	return ro.judge(now)
+	return ro.judge(po, now)
 }
 
-// Strike notes that a start of an endpoint ended while it ran a request, and
-// returns what may be done with the request now.
-func (ta *Table) Strike(di Digest, endpoint string, now time.Time) Verdict {
+// Strike notes that a start of an endpoint ended while it ran a request or an item.
+func (ta *Table) Strike(di Digest, endpoint string, now time.Time) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	ta.add(Record{AtMS: now.UnixMilli(), Digest: di, Endpoint: endpoint}, now)
-	ro := ta.rows[di]
-	if ro == nil {
-		return Verdict{Strikes: 1} // the table is full of what is more suspect
-	}
-	return ro.judge(now)
 }
 
 // Answered notes that an endpoint ran a request and answered it. One that ended
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -60,6 +60,17 @@
 	}
 }
 
+func TestJudgeItem(t *testing.T) {
+	// An item is one of a dozen at each engine that ends, and its trainer can't ask
+	// again: it rests later than a caller's request, and has three more tries.
+	var ta Table
+	for i, held := range []time.Duration{0, 0, 0, itemRest, itemRest, itemRest, barTime} {
+		assert.Equal(t, ta.JudgeItem("item", noon), Verdict{HeldFor: held, Strikes: i})
+		ta.Strike("item", fmt.Sprint(i), noon)
+	}
+	assert.Assert(t, DigestOfItem("h", "a", "/p", nil) != DigestOfItem("h", "b", "/p", nil))
+}
+
 func TestTablesAgree(t *testing.T) {
 	// Two entries see the ends of endpoints in different orders, and each learns
 	// the other's by way of a third, twice or late. If they came to judge a request
--- a/runner/engine.go
+++ b/runner/engine.go
@@ -30,6 +30,8 @@
 
 // An Engine reaches the engine beside the attendant. Each field is a seam.
 type Engine struct {
+	// EndedFunc reports whether the engine's process has ended. Nil can't tell.
+	EndedFunc func(ctx context.Context) bool
 	// OrderFunc gives an order that is carried out only if the engine has taken
 	// exactly sequence orders before it.
 	OrderFunc func(ctx context.Context, or Order, sequence uint64) (OrderState, error)
--- a/runner/exchange.go
+++ b/runner/exchange.go
@@ -58,7 +58,10 @@
 		if size > maxResponse {
 			continue // the next response has it
 		}
-		pr := Progress{Detail: ru.detail, Endpoint: ru.endpoint, Events: ru.events[ru.seen:], First: ru.seen, Key: ru.key, Score: ru.score, State: ru.state}
+		pr := Progress{
+			Detail: ru.detail, Endpoint: ru.endpoint, EngineEnded: ru.engineEnded, Events: ru.events[ru.seen:], First: ru.seen,
+			Key: ru.key, Score: ru.score, State: ru.state,
+		}
 		for _, ev := range pr.Events {
 			size += len(ev.Data)
 		}
--- a/runner/message.go
+++ b/runner/message.go
@@ -97,11 +97,13 @@
 type Progress struct {
 	Detail   string // why it ended, for logs
 	Endpoint string // engine that the run was for
-	Events   []Event
-	First    int // position of the first of Events in the run's text
-	Key      Key
-	Score    string `cbor:",omitempty"` // of the whole text, if a scheduler has had it scored
-	State    State
+	// EngineEnded means that the engine's process had ended when the run broke.
+	EngineEnded bool `cbor:",omitempty"`
+	Events      []Event
+	First       int // position of the first of Events in the run's text
+	Key         Key
+	Score       string `cbor:",omitempty"` // of the whole text, if a scheduler has had it scored
+	State       State
 }
 
 // A Report is what an engine says of itself.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -41,19 +41,20 @@
 
 // A run is one run of an item.
 type run struct {
-	begun    time.Time
-	cancel   context.CancelFunc
-	detail   string
-	ended    time.Time
-	endpoint string
-	events   []Event
-	key      Key
-	noted    State // as the scheduler knows it
-	score    string
-	seen     int // events that the scheduler has
-	state    State
-	told     bool // the scheduler knows of the run
-	stopped  bool
+	begun       time.Time
+	cancel      context.CancelFunc
+	detail      string
+	ended       time.Time
+	endpoint    string
+	engineEnded bool // as it broke
+	events      []Event
+	key         Key
+	noted       State // as the scheduler knows it
+	score       string
+	seen        int // events that the scheduler has
+	state       State
+	told        bool // the scheduler knows of the run
+	stopped     bool
 }
 
 // A Runner runs items at one engine. Fill the exported fields, then call Run.
@@ -252,6 +253,7 @@
 		st.State, st.Detail = rn.read(ru, st.Stream)
 		st.Stream.CloseFunc()
 	}
+	engineEnded := st.State == Broken && rn.Engine.EndedFunc != nil && rn.Engine.EndedFunc(ctx)
 	rn.mu.Lock()
 	defer rn.mu.Unlock()
 	switch {
@@ -264,12 +266,13 @@
 		st.State = Stopped
 	}
 	ru.state, ru.detail, ru.ended = st.State, st.Detail, time.Now()
+	ru.engineEnded = engineEnded && st.State == Broken
 	close(rn.ended)
 	rn.ended = make(chan struct{})
 	rn.Metrics.GetOrCreateHistogram(`wisteriacroft_run_seconds{state="` + st.State.String() + `"}`).UpdateDuration(begun)
 	rn.Log.WithFields(logrus.Fields{
 		"after": len(la.Prior), "attempt": la.Key.Attempt, "detail": st.Detail, "endpoint": la.Endpoint,
-		"events": len(ru.events), "item": la.Key.Item, "ms": time.Since(begun).Milliseconds(),
+		"engine-ended": ru.engineEnded, "events": len(ru.events), "item": la.Key.Item, "ms": time.Since(begun).Milliseconds(),
 		"state": st.State.String(), "step": la.Key.Step, "version": la.Version,
 	}).Info("run ended")
 }
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -322,3 +322,36 @@
 		assert.Equal(t, re.Runs[0].Score, "mark")
 	})
 }
+
+func TestBrokenRunTellsWhetherItsEngineEnded(t *testing.T) {
+	// A scheduler that can't tell an engine that ended from a connection that broke
+	// places an item that ends its engines again at once.
+	for _, tc := range []struct {
+		name   string
+		engine *fakeEngine
+		stop   bool
+		ended  bool
+	}{
+		{"broken", &fakeEngine{length: 5, cut: 3}, false, true},
+		{"whole", &fakeEngine{length: 5}, false, false},
+		{"failed", &fakeEngine{state: Failed}, false, false},
+		{"stopped", &fakeEngine{length: 500}, true, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rn := newRunner(tc.engine)
+				rn.Engine.EndedFunc = func(context.Context) bool { return true }
+				key := Key{Attempt: 1, Item: "i", Step: "s"}
+				exchange(t, rn, ExchangeRequest{Epoch: 1, Launches: []Launch{{Endpoint: "e", Key: key}}})
+				if tc.stop {
+					time.Sleep(100 * time.Millisecond)
+					exchange(t, rn, ExchangeRequest{Epoch: 1, Stops: []Key{key}})
+				}
+				time.Sleep(time.Second)
+				re := exchange(t, rn, ExchangeRequest{Epoch: 1})
+				assert.Equal(t, len(re.Runs), 1)
+				assert.Equal(t, re.Runs[0].EngineEnded, tc.ended)
+			})
+		})
+	}
+}
--- a/step/engines.go
+++ b/step/engines.go
@@ -264,6 +264,7 @@
 		ta.requeue(ir, "not run: "+pr.Detail, now)
 	case runner.Broken:
 		en.failed = now
+		ta.suspect(ir, pr, now)
 		ta.requeue(ir, "broken: "+pr.Detail, now)
 	case runner.Stopped:
 		ta.requeue(ir, "stopped", now)
@@ -291,7 +292,7 @@
 		ir.run = run{confirmed: true, engine: en.id, eventAt: now, key: pr.Key}
 		en.items[pr.Key] = ir
 		ta.log("run taken over", map[string]any{
-			"attempt": pr.Key.Attempt, engineField: en.id, "events": len(pr.Events), itemField: pr.Key.Item, stepField: pr.Key.Step,
+			attemptField: pr.Key.Attempt, engineField: en.id, "events": len(pr.Events), itemField: pr.Key.Item, stepField: pr.Key.Step,
 		})
 		return true
 	}
--- a/step/field.go
+++ b/step/field.go
@@ -2,9 +2,10 @@
 
 // Names of fields of log lines that many lines carry.
 const (
-	callField   = "call" // id of a reward call
-	engineField = "engine"
-	itemField   = "item"
-	stepField   = "step"
-	whyField    = "why"
+	attemptField = "attempt"
+	callField    = "call" // id of a reward call
+	engineField  = "engine"
+	itemField    = "item"
+	stepField    = "step"
+	whyField     = "why"
 )
--- a/step/pace.go
+++ b/step/pace.go
@@ -202,7 +202,7 @@
 	ir.target = to.id
 	to.coming[ir] = true
 	ta.log("run moved", map[string]any{
-		"attempt": ir.run.key.Attempt, engineField: from.id, "events": len(ir.events), itemField: ir.item.ID,
+		attemptField: ir.run.key.Attempt, engineField: from.id, "events": len(ir.events), itemField: ir.item.ID,
 		"pace-ms": from.report.Pace.Milliseconds(), "quiet-ms": now.Sub(ir.run.eventAt).Milliseconds(),
 		stepField: ir.step.step.ID, "to": to.id, whyField: why,
 	})
--- a/step/place.go
+++ b/step/place.go
@@ -162,7 +162,7 @@
 	var irs []*itemRow
 	for _, sr := range ta.order {
 		for _, ir := range sr.items {
-			if ir.state == waiting {
+			if ir.state == waiting && !ta.rests(ir, now) {
 				ir.spare = ir.timeToSpare(now)
 				irs = append(irs, ir)
 			}
@@ -319,7 +319,7 @@
 	}
 	en.items[ir.run.key] = ir
 	ta.log("item placed", map[string]any{
-		"after": len(ir.events), "attempt": ta.attempt, "bound": ir.item.Tokens - ir.item.Prompt, engineField: en.id,
+		"after": len(ir.events), attemptField: ta.attempt, "bound": ir.item.Tokens - ir.item.Prompt, engineField: en.id,
 		"free": en.free(), "hint": ir.item.Hint, itemField: ir.item.ID, "known": ir.known,
 		"report-ms": now.Sub(en.heardAt).Milliseconds(), stepField: ir.step.step.ID, "version": version,
 	})
--- a/step/scheduler.go
+++ b/step/scheduler.go
@@ -16,6 +16,7 @@
 	"wisteriacroft/lease"
 	"wisteriacroft/message"
 	"wisteriacroft/peer"
+	"wisteriacroft/quarantine"
 	"wisteriacroft/runner"
 	"wisteriacroft/tick"
 )
@@ -81,6 +82,9 @@
 	Metrics   *metrics.Set
 	PeerPort  int // of all attendants
 	Pool      *peer.Pool
+	// Quarantine holds items under which engines ended; nil stands for one of each
+	// term's own.
+	Quarantine *quarantine.Table
 
 	archive      archive
 	cancelHolder context.CancelFunc
@@ -198,6 +202,9 @@
 	te.table = NewTable(epoch, func(event string, fields map[string]any) {
 		sc.Log.WithFields(fields).WithField("epoch", epoch).Info(event)
 	})
+	if sc.Quarantine != nil {
+		te.table.quarantine = sc.Quarantine
+	}
 	sc.term = te
 	sc.Log.WithField("epoch", epoch).Info("scheduler")
 	go sc.follow(ctx, te)
--- a/step/table.go
+++ b/step/table.go
@@ -6,6 +6,7 @@
 
 	"wisteriacroft/incarnation"
 	"wisteriacroft/listing"
+	"wisteriacroft/quarantine"
 	"wisteriacroft/runner"
 )
 
@@ -24,6 +25,7 @@
 // An itemRow is an item of an open step.
 type itemRow struct {
 	item     *Item
+	digest   quarantine.Digest
 	step     *stepRow
 	state    itemState
 	doneAt   time.Time
@@ -133,10 +135,11 @@
 	lengths map[string]length
 	// reuse keeps the text of items of ended steps, since their groups may
 	// come again in a later step.
-	reuse    map[string]*itemRow
-	requests uint64 // made to attendants
-	rewards  *rewardGauge
-	steps    map[string]*stepRow
+	reuse      map[string]*itemRow
+	quarantine *quarantine.Table // of items under which engines ended
+	requests   uint64            // made to attendants
+	rewards    *rewardGauge
+	steps      map[string]*stepRow
 	// unscored are the items whose whole texts wait for their scores.
 	unscored map[*itemRow]bool
 	urgent   bool              // a trainer waits for no more than is whole
@@ -165,8 +168,8 @@
 	ta := &Table{
 		attempt: epoch << attemptBits, demand: map[string]float64{}, engines: map[string]*engineRow{}, epoch: epoch, gauges: map[string]*tokenGauge{}, log: log,
 		bases: map[string]time.Duration{}, bests: map[string]time.Duration{}, paces: map[string]time.Duration{}, named: map[string]uint64{}, lengths: map[string]length{}, reuse: map[string]*itemRow{},
-		rewards: &rewardGauge{},
-		steps:   map[string]*stepRow{}, unscored: map[*itemRow]bool{},
+		quarantine: &quarantine.Table{}, rewards: &rewardGauge{},
+		steps: map[string]*stepRow{}, unscored: map[*itemRow]bool{},
 	}
 	ta.rank = ta.score
 	return ta
@@ -211,7 +214,9 @@
 	sr.count(ke.Listed)
 	for i := range st.Items {
 		it := &st.Items[i]
-		ir := &itemRow{item: it, known: ta.lengths[it.ID].events, since: now, step: sr}
+		ir := &itemRow{
+			digest: quarantine.DigestOfItem(st.Host, it.ID, it.Path, it.Body), item: it, known: ta.lengths[it.ID].events, since: now, step: sr,
+		}
 		sr.items = append(sr.items, ir)
 		gr := sr.groups[it.Group]
 		if gr == nil {
@@ -347,7 +352,7 @@
 // requeue lets an item wait for a place again.
 func (ta *Table) requeue(ir *itemRow, why string, now time.Time) {
 	ta.log("run given up", map[string]any{
-		"attempt": ir.run.key.Attempt, engineField: ir.run.engine, "events": len(ir.events), itemField: ir.item.ID,
+		attemptField: ir.run.key.Attempt, engineField: ir.run.engine, "events": len(ir.events), itemField: ir.item.ID,
 		stepField: ir.step.step.ID, whyField: why,
 	})
 	ir.unwanted = ir.run.engine
