Live calls of the product's own entry that end their endpoints are kept back

Change: an attendant whose exchange broke looks whether its endpoint's process has ended and says so in the refusal (endpoint-ended; code and fate stay). The entry counts by what the call asks for and refuses it at once, as the entries on the platform do; entries share the records through the key-value service.

Programs of a soak now end with it.

--- a/attendant/call.go
+++ b/attendant/call.go
@@ -143,7 +143,7 @@
 	an, err := at.exchange(ctx, en, req)
 	ti.Leave(outcome(ctx, err))
 	if err != nil {
-		return answer{refusal: refusal(ctx, ca.id, err)}
+		return answer{refusal: en.refusalOf(ctx, ca.id, err)}
 	}
 	return answer{Answer: an}
 }
--- a/attendant/callonce.go
+++ b/attendant/callonce.go
@@ -91,7 +91,7 @@
 	default:
 		en.once.Lose(time.Now(), ke)
 	}
-	return answer{refusal: refusal(ctx, ca.id, err)}
+	return answer{refusal: en.refusalOf(ctx, ca.id, err)}
 }
 
 // digest returns the hash of what a key stands for.
--- a/attendant/refusal.go
+++ b/attendant/refusal.go
@@ -10,8 +10,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"wisteriacroft/engine"
 	"wisteriacroft/fate"
 	"wisteriacroft/message"
+	"wisteriacroft/plainservice"
 )
 
 // httpStatus returns the HTTP status of a refusal's code.
@@ -67,6 +69,29 @@
 	return fate.NewRefusal(fate.Leaving, id, "the attendant is leaving")
 }
 
+// refusalOf returns the refusal of a live call that was given to an endpoint and
+// failed with err. It tells the entry if the endpoint's process ended under it: the
+// call may be what ended it.
+func (en *endpoint) refusalOf(ctx context.Context, id string, err error) *fate.Refusal {
+	re := refusal(ctx, id, err)
+	if errors.IsAny(err, plainservice.ErrBroken, engine.ErrBroken) {
+		re.EndpointEnded = en.ended(ctx)
+	}
+	return re
+}
+
+// ended reports whether the endpoint's process has ended.
+func (en *endpoint) ended(ctx context.Context) bool {
+	switch {
+	case en.plain != nil && en.plain.EndedFunc != nil:
+		return en.plain.EndedFunc(ctx)
+	case en.engine != nil && en.engine.EndedFunc != nil:
+		return en.engine.EndedFunc(ctx)
+	default:
+		return false
+	}
+}
+
 // refusal returns the refusal of a request that was queued or given to an
 // endpoint and failed with err. Only an error that proves that nothing was
 // written says not-run.
--- a/attendant/stream.go
+++ b/attendant/stream.go
@@ -112,7 +112,7 @@
 	switch {
 	case err == nil:
 	case !st.started:
-		at.refuse(rw, en, refusal(ctx, ca.id, err))
+		at.refuse(rw, en, en.refusalOf(ctx, ca.id, err))
 	default:
 		panic(http.ErrAbortHandler) // ends the connection without the answer's end
 	}
--- /dev/null
+++ b/attendant/suspect_test.go
@@ -0,0 +1,29 @@
+package attendant_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"wisteriacroft/plainservice"
+)
+
+// TestEndpointEnded shows what an attendant says of a call whose exchange broke.
+// Only if the endpoint's process has ended may the call be what ended it.
+func TestEndpointEnded(t *testing.T) {
+	run(t, func(se *session) {
+		fs := &fakeService{takes: 100 * time.Millisecond}
+		op := plainOptions(t, fs)
+		gone := false
+		op.Endpoints[0].Plain.EndedFunc = func(context.Context) bool { return gone }
+		_, end := se.start("a:1", op)
+		defer end()
+		ctx := se.Context()
+		fs.failWith(plainservice.ErrBroken)
+		se.call(ctx, "a:1", "desk-1/call/orders", id, "broke", repeatable, "yes")
+		gone = true
+		se.call(ctx, "a:1", "desk-1/call/orders", id, "ended", repeatable, "yes")
+		fs.failWith(plainservice.ErrNotSent)
+		se.call(ctx, "a:1", "desk-1/call/orders", id, "not-sent", repeatable, "yes")
+	})
+}
--- a/call/request.go
+++ b/call/request.go
@@ -14,6 +14,7 @@
 	"wisteriacroft/finding"
 	"wisteriacroft/message"
 	"wisteriacroft/once"
+	"wisteriacroft/quarantine"
 )
 
 // Limits on what callers send.
@@ -32,6 +33,7 @@
 type request struct {
 	body       []byte
 	deadline   time.Time
+	digest     quarantine.Digest
 	header     http.Header // of the caller
 	id         string
 	key        once.Key // of the caller
@@ -90,6 +92,7 @@
 	}
 	req.readHeaders(&li)
 	req.readBody(rw, rq, &li)
+	req.digest = quarantine.DigestOf(service, rq.Method, rq.URL.RequestURI(), req.body)
 	if err := li.Err(); err != nil {
 		return req, req.refusal(fate.BadRequest, err.Error())
 	}
--- a/call/run.go
+++ b/call/run.go
@@ -43,11 +43,15 @@
 	bu := ru.server.budgetOf(ru.request.policy)
 	bu.First()
 	for {
+		if re := ru.heldBack(); re != nil {
+			return re
+		}
 		at, re := ru.next()
 		if re != nil {
 			return re
 		}
 		err := ru.attempt(ctx, at, try)
+		ru.suspect(at, err)
 		if err != nil && ru.askable(at, err) {
 			err = ru.ask(ctx, at, err, try)
 		}
--- a/call/server.go
+++ b/call/server.go
@@ -14,6 +14,7 @@
 
 	"wisteriacroft/fate"
 	"wisteriacroft/message"
+	"wisteriacroft/quarantine"
 	"wisteriacroft/retry"
 	"wisteriacroft/route"
 )
@@ -34,8 +35,11 @@
 	// Progress bounds the silence of a connection to an attendant; default
 	// DefaultProgress.
 	Progress time.Duration
-	Routes   *route.Table
-	Seed     uint64 // of the jitter of retries
+	// Quarantine holds calls under which endpoints ended; nil stands for one of the
+	// server's own.
+	Quarantine *quarantine.Table
+	Routes     *route.Table
+	Seed       uint64 // of the jitter of retries
 
 	budgets map[string]*budget // by service
 	mu      sync.Mutex
@@ -65,6 +69,9 @@
 	if se.Log == nil {
 		se.Log = logrus.StandardLogger()
 	}
+	if se.Quarantine == nil {
+		se.Quarantine = &quarantine.Table{}
+	}
 	se.budgets = make(map[string]*budget)
 	se.work = newClient(se.DialFunc, se.Progress)
 }
--- a/engine/client.go
+++ b/engine/client.go
@@ -108,6 +108,8 @@
 type Client struct {
 	CacheEventsFunc func(ctx context.Context, after uint64) ([]CacheEvent, error)
 	CancelFunc      func(ctx context.Context, requestID string) error
+	// EndedFunc reports whether the engine's process has ended. Nil can't tell.
+	EndedFunc       func(ctx context.Context) bool
 	ExportCacheFunc func(ctx context.Context, requestID string) (CacheSnapshot, error)
 	// GenerateFunc streams an answer and calls emit for each chunk, in order.
 	// It returns nil only after a chunk that is Done. It stops at emit's error.
--- a/engine/http.go
+++ b/engine/http.go
@@ -34,6 +34,7 @@
 	return &Client{
 		CacheEventsFunc: ht.cacheEvents,
 		CancelFunc:      ht.cancel,
+		EndedFunc:       ht.Ended,
 		ExportCacheFunc: ht.exportCache,
 		GenerateFunc:    ht.generate,
 		ImportCacheFunc: ht.importCache,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"wisteriacroft/peer"
 	"wisteriacroft/process"
 	"wisteriacroft/profile"
+	"wisteriacroft/quarantine"
 	"wisteriacroft/roster"
 	"wisteriacroft/route"
 	"wisteriacroft/tick"
@@ -50,6 +51,7 @@
 	poller     *roster.Poller
 	pool       *peer.Pool
 	profiles   *profile.Holder
+	quarantine *quarantine.Keeper // of calls under which endpoints ended
 	rollouts   *rollouts
 	roster     *roster.Table
 	routes     *route.Table
@@ -84,6 +86,9 @@
 		ObserveFunc:    en.observe,
 	}
 	en.depot = attendant.NewDepotClient(en.pool)
+	en.quarantine = &quarantine.Keeper{
+		Client: op.KeyValue, Log: en.log, Rand: rand.New(rand.NewPCG(op.Seed, quarantineStream)), Table: &quarantine.Table{},
+	}
 	en.ownership = &ownership{
 		address: op.Address,
 		client:  op.KeyValue,
@@ -232,8 +237,9 @@
 		ProfileFunc: func(service, name string) (call.Policy, error) {
 			return callPolicy(en.profiles.Current(), service, name)
 		},
-		Routes: en.routes,
-		Seed:   en.options.Seed,
+		Quarantine: en.quarantine.Table,
+		Routes:     en.routes,
+		Seed:       en.options.Seed,
 	}
 	calls.Register(ro)
 	return process.NewHTTPServer(process.CloseWhile(en.leaving, ro))
--- a/entry/members.go
+++ b/entry/members.go
@@ -53,8 +53,9 @@
 
 // Streams tell the random numbers of parts that share a seed from each other.
 const (
-	rosterStream = 3
-	spreadStream = 4
+	rosterStream     = 3
+	spreadStream     = 4
+	quarantineStream = 5
 )
 
 // seeds returns the settings' entries as instances, which stand in until the
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -19,6 +19,8 @@
 	lo := &tick.Loop{Every: en.options.TickEvery, Systems: en.Systems()}
 	en.run(lo.Run)
 	en.run(en.follower.Run)
+	en.run(en.quarantine.Run)
+	en.run(en.quarantine.Follow)
 	if en.options.Instances != nil {
 		en.run(en.poller.Run)
 	}
--- a/fate/fate.go
+++ b/fate/fate.go
@@ -56,11 +56,13 @@
 // A Refusal is the typed answer to a request that got no whole answer. It is
 // an error, and its exported fields are its form on the wire.
 type Refusal struct {
-	Code       Code   `json:"code"`
-	Fate       string `json:"fate"`
-	Message    string `json:"message"`
-	RequestID  string `json:"request-id"`
-	RetryAfter string `json:"retry-after,omitempty"` // a Go duration, such as "250ms"
+	Code Code `json:"code"`
+	// EndpointEnded means that the endpoint's process ended while it ran the request.
+	EndpointEnded bool   `json:"endpoint-ended,omitempty"`
+	Fate          string `json:"fate"`
+	Message       string `json:"message"`
+	RequestID     string `json:"request-id"`
+	RetryAfter    string `json:"retry-after,omitempty"` // a Go duration, such as "250ms"
 }
 
 // NewRefusal returns a refusal of a code with the fate that it implies.
--- a/plainservice/client.go
+++ b/plainservice/client.go
@@ -50,6 +50,8 @@
 type Client struct {
 	// CallFunc returns once the answer's head is there. A Body that ends
 	// early gives ErrBroken from Read.
-	CallFunc   func(ctx context.Context, req Request) (Answer, error)
+	CallFunc func(ctx context.Context, req Request) (Answer, error)
+	// EndedFunc reports whether the service's process has ended. Nil can't tell.
+	EndedFunc  func(ctx context.Context) bool
 	ReportFunc func(ctx context.Context) (Report, error)
 }
--- a/plainservice/http.go
+++ b/plainservice/http.go
@@ -24,6 +24,7 @@
 			})
 			return Answer(an), errors.Wrapf(err, "call %s", req.Path)
 		},
+		EndedFunc: cl.Ended,
 		ReportFunc: func(ctx context.Context) (Report, error) {
 			re, status, err := roundtrip.Call[Report](ctx, cl, http.MethodGet, "/report", nil)
 			if err == nil && status != http.StatusOK {
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,6 +21,10 @@
 	// saveTimeout bounds one call of a save. A service that is 90 times slower than
 	// usual answers in 0.4 s.
 	saveTimeout = 600 * time.Millisecond
+	// watchTime bounds one watch, and so how long a silent connection hides news.
+	watchTime = 10 * time.Second
+	// watchPause is the pause after a watch that failed.
+	watchPause = time.Second
 	// savePause is the pause before a save that failed is tried again.
 	savePause = 200 * time.Millisecond
 )
@@ -29,7 +34,21 @@
 type Keeper struct {
 	Client *keyvalue.Client
 	Log    *logrus.Entry
-	Table  *Table
+	// Rand shortens waits, so that processes that started together do not call
+	// together; nil shortens none.
+	Rand  *rand.Rand
+	Table *Table
+}
+
+// watchJitter is the part of a watch's time that is drawn.
+const watchJitter = 0.3
+
+// watchTimeout returns how long the next watch may last.
+func (ke *Keeper) watchTimeout() time.Duration {
+	if ke.Rand == nil {
+		return watchTime
+	}
+	return time.Duration(float64(watchTime) * (1 - watchJitter*ke.Rand.Float64()))
 }
 
 // Run saves new records until ctx ends. While the service is away it goes on
@@ -57,15 +76,42 @@
 	}
 }
 
+// Follow takes in what others save until ctx ends, for a process that no other one
+// feeds.
+func (ke *Keeper) Follow(ctx context.Context) {
+	var version int64
+	for ctx.Err() == nil {
+		limited, cancel := context.WithTimeout(ctx, ke.watchTimeout())
+		it, err := ke.Client.Watch(limited, Key, version)
+		silent := limited.Err() != nil
+		cancel()
+		if silent {
+			continue // nothing new, or the watch is silent
+		}
+		if err == nil {
+			version = it.Version
+			err = ke.Table.Load(it.Value, time.Now())
+		}
+		if err != nil {
+			ke.Log.WithError(err).Warn("quarantine can't be followed")
+			sleep(ctx, watchPause)
+		}
+	}
+}
+
 // pause waits before a save is tried again. One that another process was faster
 // than goes on at once.
 func pause(ctx context.Context, err error) {
 	if errors.Is(err, keyvalue.ErrConflict) {
 		return
 	}
+	sleep(ctx, savePause)
+}
+
+func sleep(ctx context.Context, wait time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(savePause):
+	case <-time.After(wait):
 	}
 }
 
--- a/quarantine/keeper_test.go
+++ b/quarantine/keeper_test.go
@@ -69,3 +69,42 @@
 		})
 	}
 }
+
+func TestFollow(t *testing.T) {
+	// Entries that no other process feeds learn of each other's ends from the
+	// service. A watch whose connection has fallen silent never answers; the next one
+	// must find what it hid.
+	for _, tc := range []struct {
+		name   string
+		silent bool
+		after  time.Duration
+	}{{"calm", false, 100 * time.Millisecond}, {"the watch is silent", true, 11 * time.Second}} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				var me keyvalue.Memory
+				cl := me.Client()
+				if watch := cl.WatchFunc; tc.silent {
+					cl.WatchFunc = func(ctx context.Context, key string, after int64) (keyvalue.Item, error) {
+						cl.WatchFunc = watch
+						<-ctx.Done()
+						return keyvalue.Item{}, ctx.Err()
+					}
+				}
+				logger := logrus.New()
+				logger.SetLevel(logrus.PanicLevel)
+				var ta Table
+				go (&Keeper{Client: cl, Log: logrus.NewEntry(logger), Table: &ta}).Follow(ctx)
+				synctest.Wait()
+				other := startKeeper(ctx, &me)
+				for i := range 2 {
+					other.Strike("request", string(rune('a'+i)), time.Now())
+				}
+				time.Sleep(tc.after)
+				assert.Equal(t, ta.Judge("request", time.Now()).Strikes, 2)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/roundtrip/ended.go
+++ b/roundtrip/ended.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/url"
 	"syscall"
 	"time"
 
@@ -13,6 +14,12 @@
 // to another failure domain takes 2 ms to open or to be refused.
 const endedTimeout = 100 * time.Millisecond
 
+// Ended reports whether the client's server has ended.
+func (cl Client) Ended(ctx context.Context) bool {
+	ur, err := url.Parse(cl.BaseURL)
+	return err == nil && Ended(ctx, ur.Host)
+}
+
 // Ended reports whether the process that listened at an address has ended: its host
 // refuses connections. It looks also when ctx has ended.
 //
--- a/soak/program.go
+++ b/soak/program.go
@@ -77,6 +77,9 @@
 	cmd.Args[0] = programName // a test's binary stands for the program under its name
 	cmd.Env = []string{platform.SettingsVariable + "=" + settings, "GOMAXPROCS=1"}
 	cmd.Stdout, cmd.Stderr = log, log
+	// A soak that is killed would leave its programs behind, which answer the callers
+	// of the next one on the same addresses: all calls served, no step ever whole.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		_ = log.Close()
 		return errors.Wrapf(err, "start %s", pg.name)
