--- a/directory/feed_test.go
+++ b/directory/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -217,18 +218,18 @@
 				logger.SetLevel(logrus.PanicLevel)
 				log := logrus.NewEntry(logger)
 				cl := me.Client()
-				looks := 0
+				var looks atomic.Int64
 				cl.GetStaleFunc = func(context.Context, string) (keyvalue.Item, error) {
-					looks++
+					looks.Add(1)
 					return keyvalue.Item{}, keyvalue.ErrNotFound
 				}
 				fo := &Follower{
 					Client: cl, DirectFunc: func() bool { return false }, Directory: &Directory{},
 					Feeder: &lease.Finder{Client: cl, Log: log, Name: "scheduler"}, Log: log, Patience: tc.patience, Source: source(),
 				}
-				stale := 0
+				var stale atomic.Int64
 				cl.ScanStaleFunc = func(ctx context.Context, prefix string) (keyvalue.Changes, error) {
-					stale++
+					stale.Add(1)
 					return keyvalue.Changes{Items: []keyvalue.Item{{Key: prefix, Value: []byte(`{"Version":2}`)}}}, nil
 				}
 				go fo.Run(ctx)
@@ -236,10 +237,10 @@
 				version := map[bool]int64{false: 2, true: 3}[tc.reads] // 2 is the cheap reading's
 				assert.Equal(t, fo.Directory.Configuration().Version, version)
 				// The configuration, the endpoints and the quarantined requests.
-				assert.Equal(t, stale, map[bool]int{false: 3, true: 0}[tc.reads])
+				assert.Equal(t, stale.Load(), map[bool]int64{false: 3, true: 0}[tc.reads])
 				time.Sleep(500 * time.Millisecond)
 				assert.Equal(t, fo.Directory.Configuration().Version, int64(3), "a feeder that does not come")
-				assert.Assert(t, looks > 0)
+				assert.Assert(t, looks.Load() > 0)
 				cancel()
 				synctest.Wait()
 			})
--- a/step/keep_test.go
+++ b/step/keep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -161,9 +162,9 @@
 		var me keyvalue.Memory
 		me.SetFaults(keyvalue.Faults{Outage: true})
 		do := doorOf(&Keeper{Client: me.Client()})
-		cutOff := false
-		do.CutOffFunc = func() bool { return cutOff }
-		time.AfterFunc(2*time.Second, func() { cutOff = true })
+		var cutOff atomic.Bool
+		do.CutOffFunc = cutOff.Load
+		time.AfterFunc(2*time.Second, func() { cutOff.Store(true) })
 		begun := time.Now()
 		err := do.Accept(t.Context(), stepOf("s", 1))
 		assert.Assert(t, errors.Is(err, keyvalue.ErrUnavailable))
@@ -206,9 +207,9 @@
 		var me keyvalue.Memory
 		me.SetFaults(keyvalue.Faults{Delay: time.Minute})
 		do := doorOf(&Keeper{Client: me.Client()})
-		cutOff := false
-		do.CutOffFunc = func() bool { return cutOff }
-		time.AfterFunc(time.Second, func() { cutOff = true })
+		var cutOff atomic.Bool
+		do.CutOffFunc = cutOff.Load
+		time.AfterFunc(time.Second, func() { cutOff.Store(true) })
 		assert.Assert(t, errors.Is(do.Accept(t.Context(), stepOf("s", 1)), keyvalue.ErrOutcomeUnknown))
 	})
 }
