--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -22,16 +22,17 @@
 
 // A RootCmd holds every command.
 type RootCmd struct {
-	Attendant AttendantCmd `cmd:"" help:"Serve the endpoints of one instance, as the only door to them."`
-	Entry     EntryCmd     `cmd:"" help:"Serve callers and trainers behind the platform's balancer."`
-	Platform  PlatformCmd  `cmd:"" help:"Run a role on the users' platform, by the settings file that it writes."`
-	Profile   ProfileCmd   `cmd:"" help:"Check, compare and change what is in force."`
-	Report    ReportCmd    `cmd:"" help:"Tell from the logs of a day what steps waited for."`
-	Soak      SoakCmd      `cmd:"" help:"Run the roles on the platform as processes, under faults, before stand-ins."`
-	StandIn   StandInCmd   `cmd:"" help:"Stand in for a system outside, for trials and tests." name:"stand-in"`
-	Status    StatusCmd    `cmd:"" help:"Show what one process or all of them hold."`
-	Try       TryCmd       `cmd:"" help:"Try the whole path in one process, on stand-ins."`
-	Version   VersionCmd   `cmd:"" help:"Show the version of the program."`
+	Attendant  AttendantCmd  `cmd:"" help:"Serve the endpoints of one instance, as the only door to them."`
+	Entry      EntryCmd      `cmd:"" help:"Serve callers and trainers behind the platform's balancer."`
+	Platform   PlatformCmd   `cmd:"" help:"Run a role on the users' platform, by the settings file that it writes."`
+	Profile    ProfileCmd    `cmd:"" help:"Check, compare and change what is in force."`
+	Quarantine QuarantineCmd `cmd:"" help:"Show and lift what is kept from endpoints, as others ended while they ran it."`
+	Report     ReportCmd     `cmd:"" help:"Tell from the logs of a day what steps waited for."`
+	Soak       SoakCmd       `cmd:"" help:"Run the roles on the platform as processes, under faults, before stand-ins."`
+	StandIn    StandInCmd    `cmd:"" help:"Stand in for a system outside, for trials and tests." name:"stand-in"`
+	Status     StatusCmd     `cmd:"" help:"Show what one process or all of them hold."`
+	Try        TryCmd        `cmd:"" help:"Try the whole path in one process, on stand-ins."`
+	Version    VersionCmd    `cmd:"" help:"Show the version of the program."`
 }
 
 // SettingsFlags are the flags of a long-running role.
--- /dev/null
+++ b/cmd/quarantinecmd.go
@@ -0,0 +1,126 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"wisteriacroft/forward"
+	"wisteriacroft/keyvalue"
+	"wisteriacroft/platform"
+	"wisteriacroft/quarantine"
+)
+
+// errNoStore means that neither service was named.
+var errNoStore = errors.New("name the key-value service by --platform, or that of the users' platform by --store")
+
+// A QuarantineCmd shows and lifts what is kept from endpoints.
+type QuarantineCmd struct {
+	Lift QuarantineLiftCmd `cmd:"" help:"Let a request or an item be sent to endpoints again."`
+	List QuarantineListCmd `cmd:"" help:"List requests and items under which endpoints ended."`
+}
+
+// QuarantineFlags name the service that holds the records.
+type QuarantineFlags struct {
+	Platform string        `env:"WISTERIACROFT_PLATFORM" help:"Base URL of the key-value service." placeholder:"URL"`
+	Store    string        `help:"Address of the key-value service of the users' platform, instead." placeholder:"IP:PORT"`
+	Timeout  time.Duration `default:"5s" help:"How long to wait for the service."`
+}
+
+// keeper returns what reads and writes the records.
+func (qf QuarantineFlags) keeper(env *ProfileEnv) (*quarantine.Keeper, error) {
+	log := logrus.New()
+	log.SetOutput(io.Discard) // what goes wrong is the command's error
+	ke := &quarantine.Keeper{Log: logrus.NewEntry(log), Table: &quarantine.Table{}}
+	switch {
+	case qf.Store != "":
+		ke.Client = platform.NewStore(qf.Store, forward.NewHTTPClient())
+	case qf.Platform != "":
+		var err error
+		if ke.Client, err = env.OpenFunc(qf.Platform); err != nil {
+			return nil, err
+		}
+	default:
+		return nil, NewExitError(ExitBadInput, errNoStore)
+	}
+	return ke, nil
+}
+
+// A QuarantineListCmd lists what is kept from endpoints.
+type QuarantineListCmd struct {
+	QuarantineFlags
+	Output string `default:"table" enum:"table,json" help:"Form of the output: table or json."`
+}
+
+// Run prints the requests and items, the most suspect first.
+func (qc *QuarantineListCmd) Run(ctx context.Context, env *ProfileEnv) error {
+	ke, err := qc.keeper(env)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, qc.Timeout)
+	defer cancel()
+	if err := ke.Read(ctx); err != nil {
+		return err
+	}
+	ens := ke.Table.Entries(time.Now())
+	if qc.Output == "json" {
+		encoder := json.NewEncoder(env.Stdout)
+		encoder.SetIndent("", "  ")
+		return errors.Wrap(encoder.Encode(ens), "print")
+	}
+	pr := printer{out: env.Stdout}
+	if len(ens) == 0 {
+		pr.printf("nothing is kept from endpoints\n")
+		return pr.err
+	}
+	pr.table("DIGEST\tSTRIKES\tHELD-FOR\tLAST-END", func(tw io.Writer) {
+		for _, en := range ens {
+			_, _ = fmt.Fprintf(tw, "%s\t%d\t%s\t%s\n", en.Digest, en.Strikes, en.HeldFor.Round(time.Second), en.LastEnd.Format(time.RFC3339)) // kept by the table
+		}
+	})
+	return pr.err
+}
+
+// A QuarantineLiftCmd lets one request or item go to endpoints again.
+type QuarantineLiftCmd struct {
+	QuarantineFlags
+	Digest string `arg:"" help:"Digest of the request or item, as logs and list name it."`
+	DryRun bool   `help:"Say what would be lifted, and change nothing."`
+}
+
+// Run lifts it. Repeated, it fails, as there is nothing left to lift.
+func (qc *QuarantineLiftCmd) Run(ctx context.Context, env *ProfileEnv) error {
+	ke, err := qc.keeper(env)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, qc.Timeout)
+	defer cancel()
+	di := quarantine.Digest(qc.Digest)
+	if qc.DryRun {
+		if err := ke.Read(ctx); err != nil {
+			return err
+		}
+		for _, en := range ke.Table.Entries(time.Now()) {
+			if en.Digest == di {
+				_, err := fmt.Fprintf(env.Stdout, "would lift %s, %d endpoints ended under it\n", di, en.Strikes)
+				return err
+			}
+		}
+		return errors.Wrapf(quarantine.ErrNotQuarantined, "%s", di)
+	}
+	if err := ke.Lift(ctx, di); err != nil {
+		if errors.Is(err, keyvalue.ErrOutcomeUnknown) {
+			return NewExitError(ExitUnknown, err)
+		}
+		return err
+	}
+	_, err = fmt.Fprintf(env.Stdout, "lifted %s\n", di)
+	return err
+}
