--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -7,116 +7,9 @@
 	"time"
 )
 
-// Limits of what a request may do to its endpoints.
-const (
-	// suspectStrikes is how many endpoints may end under a request before it
-	// rests. One may end for a reason of its own, and the request deserves another;
-	// that two in a row did is rarely chance, and a service may have no more than
-	// three.
-	suspectStrikes = 2
-	// suspectRest is how long it rests then, so that both endpoints are back before
-	// it may take another one: they start again within some seconds.
-	suspectRest = 10 * time.Second
-	// suspectLife is how long the ends of endpoints are remembered of a request that
-	// has not been barred: clients come back within minutes.
-	suspectLife = 10 * time.Minute
-	// barStrikes is how many endpoints may end under a request before it is barred.
-	barStrikes = 3
-	// itemRestStrikes is how many engines may end under an item of a step before it
-	// rests between its runs: an item lasts some seconds, and two engines may end in
-	// them for reasons of their own. It rests for itemRest, so that no more than two
-	// engines of a fleet are down for it.
-	itemRestStrikes = 3
-	itemRest        = 4 * time.Second
-	// itemBarStrikes is how many engines may end before the item is barred. It is
-	// given more tries than a caller's request, since its trainer waits for it and
-	// can't ask again.
-	itemBarStrikes = 6
-	// barTime is for how long it is: a day, in which its owners can mend it or the
-	// service.
-	barTime = 24 * time.Hour
-	// maxRows bounds the requests that are remembered, which are kept in one value
-	// of some 100 bytes each.
-	maxRows = 1000
-)
-
-// A Record is something that was seen of a request: an endpoint that ended while
-// it ran the request, or an answer.
-type Record struct {
-	AtMS     int64 // Unix milliseconds, by the clock of the process that saw it
-	Digest   Digest
-	Endpoint string `cbor:",omitempty"` // the start of the endpoint that ended; empty for an answer
-}
-
-// A Verdict is what may be done with a request.
-type Verdict struct {
-	HeldFor time.Duration // it must not be sent to an endpoint for that long; 0: it may
-	Strikes int           // endpoints that ended under it since it was last answered
-}
-
-// Held reports whether the request must not be sent to an endpoint now.
-func (ve Verdict) Held() bool { return ve.HeldFor > 0 }
-
-// Suspect reports whether an endpoint has ended under the request. It may be at
-// one endpoint at a time then: two at once could both end.
-func (ve Verdict) Suspect() bool { return ve.Strikes > 0 }
-
-// A row is what is known of a request.
-type row struct {
-	answered int64            // Unix milliseconds of the last answer
-	changed  uint64           // generation of the table at the last change
-	strikes  map[string]int64 // Unix milliseconds of its end, by the start of an endpoint
-}
-
-// standing returns how many endpoints have ended since the last answer, and when
-// the last one did.
-func (ro *row) standing() (strikes int, last int64) {
-	for _, at := range ro.strikes {
-		if at > ro.answered {
-			strikes++
-			last = max(last, at)
-		}
-	}
-	return strikes, last
-}
-
-// expired reports whether a row says nothing any more.
-func (ro *row) expired(now time.Time) bool {
-	strikes, last := ro.standing()
-	life := suspectLife
-	if strikes >= barStrikes {
-		life = barTime
-	}
-	return now.Sub(time.UnixMilli(max(last, ro.answered))) > life
-}
-
-// A policy says how long something rests after the last endpoint that ended under
-// it.
-type policy struct {
-	bar  int // endpoints after which it rests for barTime
-	rest time.Duration
-	some int // endpoints after which it rests for rest
-}
-
-var (
-	requestPolicy = policy{bar: barStrikes, rest: suspectRest, some: suspectStrikes}
-	itemPolicy    = policy{bar: itemBarStrikes, rest: itemRest, some: itemRestStrikes}
-)
-
-// judge returns what may be done with the request.
-func (ro *row) judge(po policy, now time.Time) Verdict {
-	strikes, last := ro.standing()
-	rest := time.Duration(0)
-	switch {
-	case strikes >= po.bar:
-		rest = barTime
-	case strikes >= po.some:
-		rest = po.rest
-	}
-	// Seen by a clock that is ahead, an end holds its request for no longer.
-	held := min(rest-now.Sub(time.UnixMilli(last)), rest)
-	return Verdict{HeldFor: max(held, 0), Strikes: strikes}
-}
+// maxRows bounds the requests that are remembered, which are kept in one value
+// of some 100 bytes each.
+const maxRows = 1000
 
 // A Table remembers the requests under which endpoints ended. It is merged with
 // those of other processes record by record, in any order. The zero Table is empty
@@ -296,10 +189,6 @@
 	return res
 }
 
-func compareRecords(a, b Record) int {
-	return cmp.Or(cmp.Compare(a.Digest, b.Digest), cmp.Compare(a.AtMS, b.AtMS), cmp.Compare(a.Endpoint, b.Endpoint))
-}
-
 // Generation returns a number that grows with each record that is new.
 func (ta *Table) Generation() uint64 {
 	ta.mu.Lock()
