--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -1,5 +1,5 @@
-// Package quarantine tells requests that bring their endpoints down from others,
-// and keeps them from the endpoints that are left.
+// Package quarantine keeps poison requests, under which one endpoint after the other
+// crashes, from the endpoints that are left.
 package quarantine
 
 import (
--- a/runner/restart_test.go
+++ b/runner/restart_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"wisteriacroft/incarnation"
@@ -71,3 +73,35 @@
 	assert.Equal(t, rn.report.Incarnation, incarnation.Number(10))
 	assert.Assert(t, !rn.orders.givenAt.IsZero(), "the order counts as given")
 }
+
+func TestEngineThatAnswersNoMoreIsNotNamed(t *testing.T) {
+	// As in step's TestAttendantNamesTheFormerEngine: an engine that crashes comes back
+	// under another ID, and its reports say nothing of their start. A scheduler that
+	// has just taken over knows no former engine, so that the attendant must not name
+	// one that has stopped answering.
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fe := &fakeEngine{length: 2}
+		rn := newRunner(fe)
+		var down atomic.Bool
+		report := rn.Engine.ReportFunc
+		rn.Engine.ReportFunc = func(ctx context.Context) (Report, error) {
+			if down.Load() {
+				return Report{}, errors.New("connection refused")
+			}
+			return report(ctx)
+		}
+		go rn.Run(ctx)
+		synctest.Wait()
+		exchange(t, rn, ExchangeRequest{Endpoint: "old", Epoch: 1, Launches: []Launch{{Endpoint: "old", Key: Key{Attempt: 1, Item: "i"}}}})
+		time.Sleep(time.Second)
+		assert.Equal(t, exchange(t, rn, ExchangeRequest{Endpoint: "old", Epoch: 1}).Engine, "old")
+		down.Store(true)
+		time.Sleep(time.Second)
+		down.Store(false)
+		time.Sleep(time.Second)
+		assert.Equal(t, exchange(t, rn, ExchangeRequest{Endpoint: "new", Epoch: 1}).Engine, "")
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/step/takeover_test.go
+++ b/step/takeover_test.go
@@ -237,3 +237,22 @@
 		})
 	}
 }
+
+func TestAttendantNamesTheFormerEngine(t *testing.T) {
+	// After eleven of twelve engines had crashed, two were given work for the rest of
+	// the day and the items of three steps lay waiting. Each came back under another
+	// ID. Its entry took the place of the former one's at once, while the attendant
+	// still named the engine that had last ended a run there. That was not known any
+	// more, so that it was taken for one that had come after:
+	//
+	//	19.7823 endpoint was replaced  by=i-e830f938d4 endpoint=i-c78cd98f56
+	//	19.8135 engine joined          engine=i-e830f938d4
+	//	19.8142 engine was replaced    engine=i-e830f938d4 by=i-c78cd98f56
+	ta := tableOf(t, 1, "old")
+	addEngines(ta, begin, "new")
+	hear(ta, "new", runner.ExchangeResponse{Engine: "old"}, begin)
+	ta.Accept(stepOf("s", 1), Kept{}, false, begin)
+	ta.Place(begin)
+	engine, _ := keyOf(t, ta, "s", 0)
+	assert.Equal(t, engine, "new")
+}
