--- a/attendant/harness_test.go
+++ b/attendant/harness_test.go
@@ -158,6 +158,9 @@
 		assert.NilError(se, json.Unmarshal(body, &re))
 		assert.Equal(se, re.Fate, he.Get(message.FateHeader))
 		text = string(re.Code)
+		if re.EndpointEnded {
+			text += ", endpoint ended"
+		}
 	}
 	se.note("call %s: %d id=%s fate=%s load=%s beats=%d %s%s", path, rs.StatusCode, he.Get(message.RequestIDHeader),
 		he.Get(message.FateHeader), he.Get(message.LoadHeader), beats, text, textOf(err))
