Customers and their keys: whose request runs, and whose step is whose

Change: access decides by the key's digest (compared whole and with all, in constant time), by whether the route is public, and by how old the news is: a key that is not known is denied only while the news is fresh, and else refused as not run. The name is told to endpoints by the system alone. A step's id holds its customer's name, so that to read, end, take bodies and hand in again are the customer's own without a check each; text kept of earlier steps and quarantine digests hold the name too.

Ruled out: a tenant column that each way checks (one forgotten way gives a step away); digests in a map (its time depends on what is held).

--- a/call/request.go
+++ b/call/request.go
@@ -92,7 +92,7 @@
 	}
 	req.readHeaders(&li)
 	req.readBody(rw, rq, &li)
-	req.digest = quarantine.DigestOf(service, rq.Method, rq.URL.RequestURI(), req.body)
+	req.digest = quarantine.DigestOf("", service, rq.Method, rq.URL.RequestURI(), req.body)
 	if err := li.Err(); err != nil {
 		return req, req.refusal(fate.BadRequest, err.Error())
 	}
--- a/cmd/platformentrycmd.go
+++ b/cmd/platformentrycmd.go
@@ -39,7 +39,7 @@
 func (ho *host) startEntry(lc fx.Lifecycle) {
 	fo := ho.forwarder()
 	su := &platform.Submissions{
-		Directory: ho.directory,
+		Access: fo.Access, Directory: ho.directory,
 		Door: &step.Door{
 			CutOffFunc: func() bool { return ho.directory.CutOff(time.Now()) },
 			Keeper:     &step.Keeper{Client: ho.store}, Log: ho.log, Pool: ho.pool, Scheduler: ho.finder,
--- a/cmd/platformforwarder.go
+++ b/cmd/platformforwarder.go
@@ -25,6 +25,7 @@
 // entry, reward calls at a scheduler.
 func (ho *host) forwarder() *forward.Forwarder {
 	return &forward.Forwarder{
+		Access:    platform.NewChecker(ho.directory, ho.metrics),
 		Budget:    retry.NewBudget(retry.Policy{Burst: attemptBurst, MaxAttempts: attemptBurst, Ratio: attemptRatio}, 1),
 		Directory: ho.directory, Domain: ho.settings.Domain, Headers: platform.Headers(), Log: ho.log, Metrics: ho.metrics,
 		Quarantine: ho.requests,
--- a/directory/configuration.go
+++ b/directory/configuration.go
@@ -43,6 +43,7 @@
 	Name          string
 	Prefix        string // begins and ends with a slash
 	Priority      int    // 0 goes first
+	Public        bool   // callers need no key
 	Resumable     bool   // a broken stream may go on at another endpoint
 	Shares        []Share
 	SingleVersion bool // one version of the weights makes a whole sample
@@ -76,10 +77,12 @@
 // A Configuration is everything that operators have put in force, as one
 // version.
 type Configuration struct {
-	Limits   Limits
-	Routes   []Route
-	Services []Service
-	Version  int64
+	// Customers hold keys. Without any, no caller needs one.
+	Customers []Customer
+	Limits    Limits
+	Routes    []Route
+	Services  []Service
+	Version   int64
 }
 
 // Route returns the route with the longest prefix of path among those of host.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -37,6 +37,7 @@
 	awaySince     time.Time            // zero while the service answers
 	backAt        time.Time
 	heardAt       time.Time // of the service, or of the process that feeds this one
+	newsAt        time.Time // when the configuration was known to be the newest
 }
 
 // Configuration returns what is in force, or nil before it is known. It must
@@ -198,6 +199,25 @@
 	return now.Sub(di.heardAt) >= cutOffAfter
 }
 
+// HearNews takes in that the configuration is the newest one at a moment.
+func (di *Directory) HearNews(at time.Time) {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	di.newsAt = at
+}
+
+// NewsOld reports whether a newer configuration may have come into force of which
+// this process has not heard.
+//
+// A process that is cut off, turned away by the key-value service or just started
+// knows the keys and routes of a configuration that may not be the newest. That it
+// lacks one says little then: another process may know it.
+func (di *Directory) NewsOld(now time.Time) bool {
+	di.mu.RLock()
+	defer di.mu.RUnlock()
+	return now.Sub(di.newsAt) >= cutOffAfter
+}
+
 // Confirm takes in that what is known of endpoints was true at a moment.
 func (di *Directory) Confirm(at time.Time) {
 	di.mu.Lock()
--- a/directory/feed.go
+++ b/directory/feed.go
@@ -172,6 +172,7 @@
 // as if it might come back.
 func (fo *Follower) takeResponse(re FeedResponse) {
 	fo.away(fo.Source.EndpointPrefix, nil)
+	fo.Directory.HearNews(time.Now())
 	if re.Fresh {
 		fo.Directory.replaceEndpoints(re.Endpoints)
 	}
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -151,8 +151,11 @@
 		if scan || len(ch.Items) > 0 {
 			apply(ch.Items, scan)
 		}
-		if prefix == fo.Source.EndpointPrefix {
+		switch prefix {
+		case fo.Source.EndpointPrefix:
 			fo.Directory.Confirm(time.Now())
+		case fo.Source.OperatorPrefix, fo.Source.ConfigurationKey:
+			fo.Directory.HearNews(time.Now())
 		}
 		if scan || len(ch.Items) > 0 {
 			sleep(ctx, pause)
--- a/forward/call.go
+++ b/forward/call.go
@@ -21,10 +21,11 @@
 // A Call is a POST request that the system makes itself. It may run more than
 // once.
 type Call struct {
-	Body []byte
-	Host string
-	ID   string
-	Path string
+	Body     []byte
+	Customer string `cbor:",omitempty"` // for whom it is made, or ""
+	Host     string
+	ID       string
+	Path     string
 }
 
 // Equal reports whether two calls ask for the same.
@@ -76,10 +77,11 @@
 	}
 	ro.Kind, ro.Streaming = directory.Repeatable, false
 	rq := &request{
-		body: ca.Body, header: http.Header{}, host: ca.Host, id: ca.ID, method: http.MethodPost, received: time.Now(),
+		body: ca.Body, customer: ca.Customer, header: http.Header{}, host: ca.Host, id: ca.ID, method: http.MethodPost, received: time.Now(),
 		route: ro, service: pickShare(ro.Shares), target: ca.Path,
 	}
-	rq.digest = quarantine.DigestOf(rq.host, rq.method, rq.target, rq.body)
+	fo.Headers.identify(rq.header, rq.customer, true)
+	rq.digest = quarantine.DigestOf(rq.customer, rq.host, rq.method, rq.target, rq.body)
 	rq.setDeadline(callTimeout)
 	ctx, answered := boundBy(ctx, rq.deadline)
 	fo.Budget.First()
--- a/forward/ended.go
+++ b/forward/ended.go
@@ -22,7 +22,7 @@
 	fo.quarantine().Strike(rq.digest, start, now)
 	ve := fo.quarantine().Judge(rq.digest, now)
 	fo.Log.WithFields(logrus.Fields{
-		digestField: rq.digest, "endpoint": re.endpoint.ID, "held-ms": ve.HeldFor.Milliseconds(), "ms": re.took.Milliseconds(),
+		customerField: rq.customer, digestField: rq.digest, "endpoint": re.endpoint.ID, "held-ms": ve.HeldFor.Milliseconds(), "ms": re.took.Milliseconds(),
 		"path": rq.target, requestField: rq.id, "strikes": ve.Strikes,
 	}).Warn("endpoint ended under a request")
 	fo.Metrics.GetOrCreateCounter(`wisteriacroft_requests_endpoint_ended_total`).Inc()
@@ -46,7 +46,7 @@
 	ve := fo.quarantine().Judge(rq.digest, time.Now())
 	if ve.Held() {
 		fo.Log.WithFields(logrus.Fields{
-			digestField: rq.digest, "held-ms": ve.HeldFor.Milliseconds(), "path": rq.target, requestField: rq.id, "strikes": ve.Strikes,
+			customerField: rq.customer, digestField: rq.digest, "held-ms": ve.HeldFor.Milliseconds(), "path": rq.target, requestField: rq.id, "strikes": ve.Strikes,
 		}).Warn("request held back")
 		fo.Metrics.GetOrCreateCounter(`wisteriacroft_requests_held_back_total`).Inc()
 	}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"maps"
 	"net/http"
 	"slices"
@@ -12,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
+	"wisteriacroft/access"
 	"wisteriacroft/directory"
 	"wisteriacroft/quarantine"
 	"wisteriacroft/retry"
@@ -40,12 +42,17 @@
 // requestField is the field of log lines that holds a request's id.
 const requestField = "request"
 
+// customerField is the field of log lines that holds whose request it is.
+const customerField = "customer"
+
 // digestField is the field of log lines that holds what a request asks for: the
 // same for all tries of its client.
 const digestField = "digest"
 
 // A Forwarder serves live requests. Fill the exported fields before use.
 type Forwarder struct {
+	// Access decides whose requests run; nil stands for one by Directory.
+	Access    *access.Checker
 	Directory *directory.Directory
 	Domain    string // failure domain of the process
 	Headers   Headers
@@ -63,6 +70,14 @@
 	table         Table
 }
 
+// access returns what decides whose requests run.
+func (fo *Forwarder) access() *access.Checker {
+	if fo.Access == nil {
+		return &access.Checker{Directory: fo.Directory, Header: fo.Headers.Key, Metrics: fo.Metrics}
+	}
+	return fo.Access
+}
+
 // ServeHTTP implements http.Handler.
 func (fo *Forwarder) ServeHTTP(rw http.ResponseWriter, hr *http.Request) {
 	received := time.Now()
@@ -87,8 +102,8 @@
 func (fo *Forwarder) serveWhole(ctx context.Context, rw http.ResponseWriter, rq *request) {
 	re := fo.run(ctx, rq)
 	lo := fo.Log.WithFields(logrus.Fields{
-		"endpoint": re.endpoint.ID, "ms": time.Since(rq.received).Milliseconds(), requestField: rq.id,
-		"route": rq.route.Name, "status": re.status,
+		customerField: rq.customer, "endpoint": re.endpoint.ID, "ms": time.Since(rq.received).Milliseconds(),
+		"priority": rq.priority, requestField: rq.id, "route": rq.route.Name, "status": re.status,
 	})
 	if re.err == nil && !re.notRun {
 		lo.Info("answered")
@@ -164,7 +179,7 @@
 		Deadline: rq.deadline, Number: len(tried), Repeatable: true,
 	})
 	fo.Log.WithFields(logrus.Fields{
-		"allowed": ok, "attempts": len(tried), requestField: rq.id, "why": why,
+		"allowed": ok, "attempts": len(tried), customerField: rq.customer, requestField: rq.id, "why": why,
 	}).Info("another attempt")
 	return ok
 }
@@ -180,7 +195,7 @@
 	case re.err != nil, re.status == http.StatusMisdirectedRequest:
 		penalty := fo.table.Failed(id, now)
 		fo.Log.WithFields(logrus.Fields{
-			digestField: rq.digest, "endpoint": id, "error": re.err, "penalty": penalty.String(), requestField: rq.id, "status": re.status,
+			customerField: rq.customer, digestField: rq.digest, "endpoint": id, "error": re.err, "penalty": penalty.String(), requestField: rq.id, "status": re.status,
 		}).Warn("endpoint failed")
 		fo.suspect(ctx, rq, re)
 	default:
@@ -202,9 +217,28 @@
 		requestField: hr.Header.Get(fo.Headers.RequestID), "status": rj.status,
 	}).Warn("rejected")
 	fo.count("rejected")
+	if rj.status == http.StatusUnauthorized {
+		Deny(rw, rj.detail)
+		return
+	}
 	Refuse(rw, rj.status, rj.retryAfter)
 }
 
+// Deny answers a request without a key that lets it run, and says why.
+func Deny(rw http.ResponseWriter, reason string) {
+	data, err := json.Marshal(struct {
+		Error string `json:"error"`
+	}{reason})
+	if err != nil {
+		panic(err) // a string can always be encoded
+	}
+	rw.Header().Set("Content-Type", "application/json")
+	rw.Header().Set("WWW-Authenticate", "Bearer")
+	rw.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	rw.WriteHeader(http.StatusUnauthorized)
+	_, _ = rw.Write(data) // the caller has left if it fails
+}
+
 // Refuse writes an answer of the entry's own, and after how long the caller may
 // come back; 0 says nothing of it.
 func Refuse(rw http.ResponseWriter, status int, retryAfter time.Duration) {
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -22,7 +22,7 @@
 )
 
 var headers = Headers{
-	Deadline: "Deadline", Expect: "Expected-Endpoint", LastEvent: "Last-Event", Load: "Load",
+	Customer: "Customer", Deadline: "Deadline", Expect: "Expected-Endpoint", Key: "Key", LastEvent: "Last-Event", Load: "Load",
 	NotRun: "Not-Run", RequestID: "Request-Id", Signature: "Signature",
 }
 
--- a/forward/headers.go
+++ b/forward/headers.go
@@ -13,8 +13,10 @@
 // Headers are the names of the headers that carry what callers, entries and
 // endpoints say of a request.
 type Headers struct {
+	Customer  string // for endpoints: whose request it is
 	Deadline  string // milliseconds that the caller still waits
 	Expect    string // the endpoint that a request is for; any other refuses it
+	Key       string // that a caller shows, for no one but the entry
 	LastEvent string // the last event that the caller has
 	Load      string // running, waiting and places of an endpoint
 	NotRun    string // present: the endpoint did not run the request
@@ -42,6 +44,18 @@
 	return out
 }
 
+// identify replaces what a caller said of whose request it is by what is known, and
+// takes the key out if there are any. An endpoint believes the name, and needs no key.
+func (hs Headers) identify(he http.Header, customer string, keys bool) {
+	if keys {
+		he.Del(hs.Key)
+	}
+	he.Del(hs.Customer)
+	if customer != "" {
+		he.Set(hs.Customer, customer)
+	}
+}
+
 // parseDeadline returns how long a caller waits, or 0 if it doesn't say.
 func parseDeadline(text string) time.Duration {
 	count, err := strconv.ParseInt(strings.TrimSpace(text), 10, 64)
--- a/forward/request.go
+++ b/forward/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"wisteriacroft/access"
 	"wisteriacroft/directory"
 	"wisteriacroft/quarantine"
 )
@@ -16,12 +17,14 @@
 // A request is one caller's request, checked and read whole.
 type request struct {
 	body     []byte
+	customer string // whose request it is, or "" where callers need no key
 	deadline time.Time
 	digest   quarantine.Digest
 	header   http.Header // those that cross a hop
 	host     string
 	id       string
 	method   string
+	priority int // 0 goes first
 	received time.Time
 	route    directory.Route
 	service  string
@@ -37,11 +40,20 @@
 
 // A rejection is an answer that a request gets before any endpoint does.
 type rejection struct {
+	detail     string // for the caller
 	reason     string
 	retryAfter time.Duration
 	status     int
 }
 
+// rejectionOf returns what a request gets that got no grant.
+func rejectionOf(gr access.Grant) *rejection {
+	if gr.Outcome == access.Unsure {
+		return &rejection{reason: string(gr.Reason), retryAfter: configurationRetry, status: http.StatusServiceUnavailable}
+	}
+	return &rejection{detail: string(gr.Reason), reason: string(gr.Reason), status: http.StatusUnauthorized}
+}
+
 // read checks a request and reads its body.
 func (fo *Forwarder) read(rw http.ResponseWriter, hr *http.Request) (*request, *rejection) {
 	co := fo.Directory.Configuration()
@@ -52,20 +64,26 @@
 	if !ok {
 		return nil, &rejection{reason: "no route", status: http.StatusNotFound}
 	}
+	gr := fo.access().Check(co, ro.Public, hr.Header)
+	if gr.Outcome != access.Allowed {
+		return nil, rejectionOf(gr)
+	}
 	rq := &request{
+		customer: gr.Customer.Name, priority: gr.Priority(ro),
 		header: crossing(hr.Header), host: hr.Host, id: hr.Header.Get(fo.Headers.RequestID), method: hr.Method,
 		received: time.Now(), route: ro, target: hr.URL.RequestURI(), service: pickShare(ro.Shares),
 	}
 	if rq.id == "" {
 		return nil, &rejection{reason: "request has no id", status: http.StatusBadRequest}
 	}
+	fo.Headers.identify(rq.header, rq.customer, len(co.Customers) > 0)
 	rq.setDeadline(parseDeadline(hr.Header.Get(fo.Headers.Deadline)))
 	var err error
 	rq.body, err = ReadBody(rw, hr, co.Limits.BodySize)
 	if err != nil {
 		return nil, &rejection{reason: err.Error(), status: BodyStatus(err)}
 	}
-	rq.digest = quarantine.DigestOf(rq.host, rq.method, rq.target, rq.body)
+	rq.digest = quarantine.DigestOf(rq.customer, rq.host, rq.method, rq.target, rq.body)
 	return rq, nil
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -37,7 +37,7 @@
 		fo.table.Done(re.endpoint.ID)
 		last = max(last, seen)
 		lo := fo.Log.WithFields(logrus.Fields{
-			digestField: rq.digest, "endpoint": re.endpoint.ID, "last-event": last, requestField: rq.id, "route": rq.route.Name,
+			customerField: rq.customer, digestField: rq.digest, "endpoint": re.endpoint.ID, "last-event": last, requestField: rq.id, "route": rq.route.Name,
 		})
 		if err == nil {
 			lo.Info("stream ended")
@@ -89,7 +89,7 @@
 func (fo *Forwarder) endStream(rw http.ResponseWriter, rq *request, re *result, begun bool) {
 	fo.count("failed")
 	fo.Log.WithFields(logrus.Fields{
-		"begun": begun, digestField: rq.digest, "error": re.err, "not-run": re.notRun, requestField: rq.id, "status": re.status,
+		"begun": begun, customerField: rq.customer, digestField: rq.digest, "error": re.err, "not-run": re.notRun, requestField: rq.id, "status": re.status,
 	}).Warn("stream not served")
 	switch {
 	case begun:
--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -16,17 +16,18 @@
 // its own; its digest stays the same.
 type Digest string
 
-// DigestOf returns the digest of a request to a host; target is its path and
-// query.
-func DigestOf(host, method, target string, body []byte) Digest {
-	return digestOf([]byte(host), []byte(method), []byte(target), body)
+// DigestOf returns the digest of a customer's request to a host; target is its path
+// and query. What one customer sends is not held against another, who may ask for the
+// same; the customer's key is no part of it, since keys change.
+func DigestOf(customer, host, method, target string, body []byte) Digest {
+	return digestOf([]byte(customer), []byte(host), []byte(method), []byte(target), body)
 }
 
 // DigestOfItem returns the digest of an item of a step. Items keep their IDs when
 // they come again. Those of a group may ask for the same, and run at many engines
 // at once: taken for one, they would rest after any three of these had ended.
-func DigestOfItem(host, id, path string, body []byte) Digest {
-	return digestOf([]byte(host), []byte("item"), []byte(id), []byte(path), body)
+func DigestOfItem(customer, host, id, path string, body []byte) Digest {
+	return digestOf([]byte(customer), []byte(host), []byte("item"), []byte(id), []byte(path), body)
 }
 
 func digestOf(parts ...[]byte) Digest {
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -68,7 +68,7 @@
 		assert.Equal(t, ta.JudgeItem("item", noon), Verdict{HeldFor: held, Strikes: i})
 		ta.Strike("item", fmt.Sprint(i), noon)
 	}
-	assert.Assert(t, DigestOfItem("h", "a", "/p", nil) != DigestOfItem("h", "b", "/p", nil))
+	assert.Assert(t, DigestOfItem("", "h", "a", "/p", nil) != DigestOfItem("", "h", "b", "/p", nil))
 }
 
 func TestTablesAgree(t *testing.T) {
@@ -128,11 +128,12 @@
 }
 
 func TestDigest(t *testing.T) {
-	first := DigestOf("desk", "POST", "/a?b=c", []byte("line"))
-	assert.Equal(t, first, DigestOf("desk", "POST", "/a?b=c", []byte("line")))
+	first := DigestOf("", "desk", "POST", "/a?b=c", []byte("line"))
+	assert.Equal(t, first, DigestOf("", "desk", "POST", "/a?b=c", []byte("line")))
 	for _, other := range []Digest{
-		DigestOf("desk", "POST", "/a?b=c", nil), DigestOf("desk", "POST", "/a?b=", []byte("cline")),
-		DigestOf("desk", "PUT", "/a?b=c", []byte("line")), DigestOf("other", "POST", "/a?b=c", []byte("line")),
+		DigestOf("", "desk", "POST", "/a?b=c", nil), DigestOf("", "desk", "POST", "/a?b=", []byte("cline")),
+		DigestOf("", "desk", "PUT", "/a?b=c", []byte("line")), DigestOf("", "other", "POST", "/a?b=c", []byte("line")),
+		DigestOf("customer", "desk", "POST", "/a?b=c", []byte("line")),
 	} {
 		assert.Assert(t, first != other)
 	}
--- a/runner/message.go
+++ b/runner/message.go
@@ -30,6 +30,7 @@
 // A Launch asks for a run.
 type Launch struct {
 	Body     []byte
+	Customer string `cbor:",omitempty"` // whose item it is, or ""
 	Endpoint string // the engine that the run is for; any other refuses it
 	Header   map[string]string
 	Host     string
--- a/step/earlier.go
+++ b/step/earlier.go
@@ -6,10 +6,18 @@
 	"time"
 )
 
+// An itemKey names an item in all steps of its customer. Another customer's item may
+// have the same ID, and must not get its text.
+type itemKey struct{ customer, item string }
+
+func (st *Step) itemKey(it *Item) itemKey { return itemKey{customer: st.Customer, item: it.ID} }
+
+func (ir *itemRow) key() itemKey { return ir.step.step.itemKey(ir.item) }
+
 // takeOver starts an item with the text that an earlier step made of it, if
 // this step may have it.
 func (ta *Table) takeOver(ir *itemRow, now time.Time) {
-	old, ok := ta.reuse[ir.item.ID]
+	old, ok := ta.reuse[ir.key()]
 	if !ok || !bytes.Equal(old.item.Body, ir.item.Body) || !ir.step.step.fits(old.events) {
 		return
 	}
@@ -37,7 +45,7 @@
 // of the groups are in time and not 0.712.
 func (ta *Table) noteLength(ir *itemRow) {
 	if events := max(ir.known, len(ir.events)); events > 0 {
-		ta.lengths[ir.item.ID] = length{events: events, step: ir.step}
+		ta.lengths[ir.key()] = length{events: events, step: ir.step}
 	}
 }
 
--- a/step/engines.go
+++ b/step/engines.go
@@ -149,7 +149,7 @@
 
 func (ta *Table) launch(ir *itemRow) runner.Launch {
 	return runner.Launch{
-		Body: ir.item.Body, Endpoint: ir.run.engine, Header: ir.item.Header, Host: ir.step.step.Host, Key: ir.run.key,
+		Body: ir.item.Body, Customer: ir.step.step.Customer, Endpoint: ir.run.engine, Header: ir.item.Header, Host: ir.step.step.Host, Key: ir.run.key,
 		Path: ir.item.Path, Prior: ir.events[:ir.run.prior], Version: ir.run.version,
 	}
 }
--- a/step/rewarder.go
+++ b/step/rewarder.go
@@ -57,7 +57,9 @@
 // reward makes one reward call.
 func (sc *Scheduler) reward(ctx context.Context, te *term, ir *itemRow) {
 	begun := time.Now()
-	re := sc.CallFunc(ctx, *ir.item.Reward)
+	ca := *ir.item.Reward
+	ca.Customer = ir.step.step.Customer
+	re := sc.CallFunc(ctx, ca)
 	now := time.Now()
 	sc.Metrics.GetOrCreateHistogram(`wisteriacroft_reward_seconds`).UpdateDuration(begun)
 	sc.Metrics.GetOrCreateCounter(`wisteriacroft_reward_calls_total{outcome="` + re.Outcome() + `"}`).Inc()
--- a/step/step.go
+++ b/step/step.go
@@ -7,9 +7,12 @@
 package step
 
 import (
+	"net/url"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"wisteriacroft/finding"
 	"wisteriacroft/forward"
 )
@@ -34,10 +37,11 @@
 	Accepted      time.Time     // by the time of day of the entry that accepted it, which may be wrong; orders steps only
 	Cut           bool          `cbor:",omitempty"` // it has ended, and its items are gone but for their Count
 	Count         int           `cbor:",omitempty"` // items, if Cut
+	Customer      string        `cbor:",omitempty"` // whose step it is, or "" where no key is needed
 	Due           time.Duration // after its submission
 	Groups        int           // complete groups that the trainer waits for
 	Host          string
-	ID            string
+	ID            string // by QualifiedID
 	Items         []Item
 	MaxAttempts   int           // answers that an item failed, after which it is given up
 	MaxWait       time.Duration // after its submission, an item may be given up
@@ -50,6 +54,32 @@
 	SingleVersion bool // one version generates a whole sample
 }
 
+// maxID bounds a qualified ID: with what stands beside it in a key of the key-value
+// service, which may have 200 bytes.
+const maxID = 150
+
+// ErrBadID means that a step can't have an ID.
+var ErrBadID = errors.New("step has no proper id")
+
+// QualifiedID returns the ID under which a customer's step is known to the system.
+//
+// A step of another customer is as unknown as one that never was: to read, to end and
+// to hand in again. As the name is part of each key under which a step is kept, there
+// is no check that one of these ways could lack.
+func QualifiedID(customer, id string) (string, error) {
+	qualified := id
+	if customer != "" {
+		qualified = url.QueryEscape(customer) + qualifier + id
+	}
+	if id == "" || strings.ContainsAny(id, "/"+qualifier) || len(qualified) > maxID {
+		return "", ErrBadID
+	}
+	return qualified, nil
+}
+
+// qualifier parts a customer's name from an ID, and stands in neither.
+const qualifier = ":"
+
 // A Result is an item's outcome, at a position of its step.
 type Result struct {
 	Item     string
--- a/step/table.go
+++ b/step/table.go
@@ -133,10 +133,10 @@
 	epoch   uint64
 	// lengths are the most events that items of ended steps are known to have:
 	// groups that come again bring the items that last longest.
-	lengths map[string]length
+	lengths map[itemKey]length
 	// reuse keeps the text of items of ended steps, since their groups may
 	// come again in a later step.
-	reuse      map[string]*itemRow
+	reuse      map[itemKey]*itemRow
 	quarantine *quarantine.Table // of items under which engines ended
 	requests   uint64            // made to attendants
 	rewards    *rewardGauge
@@ -168,7 +168,7 @@
 	}
 	ta := &Table{
 		attempt: epoch << attemptBits, demand: map[string]float64{}, engines: map[string]*engineRow{}, epoch: epoch, former: map[string]time.Time{}, gauges: map[string]*tokenGauge{}, log: log,
-		bases: map[string]time.Duration{}, bests: map[string]time.Duration{}, paces: map[string]time.Duration{}, named: map[string]uint64{}, lengths: map[string]length{}, reuse: map[string]*itemRow{},
+		bases: map[string]time.Duration{}, bests: map[string]time.Duration{}, paces: map[string]time.Duration{}, named: map[string]uint64{}, lengths: map[itemKey]length{}, reuse: map[itemKey]*itemRow{},
 		quarantine: &quarantine.Table{}, rewards: &rewardGauge{},
 		steps: map[string]*stepRow{}, unscored: map[*itemRow]bool{},
 	}
@@ -216,7 +216,7 @@
 	for i := range st.Items {
 		it := &st.Items[i]
 		ir := &itemRow{
-			digest: quarantine.DigestOfItem(st.Host, it.ID, it.Path, it.Body), item: it, known: ta.lengths[it.ID].events, since: now, step: sr,
+			digest: quarantine.DigestOfItem(st.Customer, st.Host, it.ID, it.Path, it.Body), item: it, known: ta.lengths[st.itemKey(it)].events, since: now, step: sr,
 		}
 		sr.items = append(sr.items, ir)
 		gr := sr.groups[it.Group]
@@ -238,7 +238,7 @@
 	ta.order = append(ta.order, sr)
 	slices.SortStableFunc(ta.order, func(a, b *stepRow) int { return a.step.Accepted.Compare(b.step.Accepted) })
 	ta.log("step accepted", map[string]any{
-		"due-ms": st.Due.Milliseconds(), "groups": len(sr.groups), "items": len(st.Items), "listed": len(sr.results),
+		customerField: st.Customer, "due-ms": st.Due.Milliseconds(), "groups": len(sr.groups), "items": len(st.Items), "listed": len(sr.results),
 		"min-version": st.MinVersion, "model": st.Model,
 		"number": st.Number, stepField: st.ID, "target": st.Groups,
 	})
@@ -287,7 +287,7 @@
 			})
 		}
 		if len(ir.events) > 0 && ir.state != lost && sr.groups[ir.item.Group].left > 0 {
-			ta.reuse[ir.item.ID] = ir
+			ta.reuse[ir.key()] = ir
 		}
 	}
 	for number := range sr.checkpoints {
