--- a/step/place.go
+++ b/step/place.go
@@ -126,10 +126,14 @@
 		return
 	}
 	for _, ir := range ta.waiting(now) {
+		if _, tried := ta.verdict(ir, now); tried {
+			ta.try(ir, now)
+			continue
+		}
 		kept := ta.engines[ir.target]
 		ta.unreserve(ir)
 		en := kept
-		if en == nil || en.free() <= 0 || !ta.usable(en, ir) {
+		if en == nil || en.free() <= 0 || !ta.usable(en, ir) || ta.trials.tries(en.id, now) {
 			en = ta.choose(ir, now)
 		}
 		if en != nil {
@@ -138,6 +142,15 @@
 	}
 }
 
+// try gives an item that may end its engine a place where no other begins.
+func (ta *Table) try(ir *itemRow, now time.Time) {
+	ta.unreserve(ir)
+	if en := ta.chooseTrial(ir, now); en != nil {
+		ta.start(ir, en, now)
+		ta.trials.begin(en.id, ir)
+	}
+}
+
 // listening reports whether a new scheduler still waits to hear from engines.
 //
 // Items that run at engines, or have ended there, look as if they waited until
@@ -211,7 +224,7 @@
 	var best *engineRow
 	bestScore := 0.0
 	for _, en := range ta.sorted {
-		if en.free() <= 0 || !ta.usable(en, ir) || !en.fits(ir) {
+		if en.free() <= 0 || !ta.usable(en, ir) || !en.fits(ir) || ta.trials.tries(en.id, now) {
 			continue
 		}
 		if en.id == ir.unwanted && now.Sub(ir.since) < againAfter {
--- a/step/table.go
+++ b/step/table.go
@@ -70,7 +70,8 @@
 	seenAt      time.Time // this scheduler learned of it
 	step        *Step
 	ended       bool
-	gauge       *tokenGauge // of the step's model
+	ends        map[string]bool // engines that ended under young runs
+	gauge       *tokenGauge     // of the step's model
 	rewards     *rewardGauge
 	groups      map[string]*groupRow
 	items       []*itemRow
@@ -141,6 +142,7 @@
 	requests   uint64            // made to attendants
 	rewards    *rewardGauge
 	steps      map[string]*stepRow
+	trials     trials // of items under which engines ended
 	// unscored are the items whose whole texts wait for their scores.
 	unscored map[*itemRow]bool
 	urgent   bool              // a trainer waits for no more than is whole
