Customers share engines; customers list; a load of the shifted work; step in smaller files

Cause: placed by the time to spare alone, one customer's trainers that ask for ten times their part take ten places of eleven. Change: while items of several customers wait, those of customers that hold more than their part of the places wait behind the others. 'wisteriacroft customers list' shows names, numbers of keys, requests and refusals.

keep.go, table.go, engines.go and place.go are divided; Keeper.save and Keeper.Read share what they read.

--- a/access/checker.go
+++ b/access/checker.go
@@ -11,6 +11,12 @@
 	"wisteriacroft/directory"
 )
 
+// Names of the counters of customers.
+const (
+	RefusalsMetric = "wisteriacroft_customer_refusals_total"
+	RequestsMetric = "wisteriacroft_customer_requests_total"
+)
+
 const (
 	// maxCounted is how many customers are counted by name, so that a deployment of
 	// thousands does not swell what is collected. The others are counted as one.
@@ -46,8 +52,22 @@
 	switch {
 	case gr.Outcome != Allowed:
 		ch.Metrics.GetOrCreateCounter(fmt.Sprintf(`wisteriacroft_requests_without_grant_total{reason=%q}`, gr.Reason)).Inc()
-	case gr.Customer.Name != "":
-		ch.Metrics.GetOrCreateCounter(fmt.Sprintf(`wisteriacroft_customer_requests_total{customer=%q}`, ch.label(gr.Customer.Name))).Inc()
+	default:
+		ch.countFor(RequestsMetric, gr.Customer.Name)
+	}
+}
+
+// Refused counts a customer's request that did not run.
+func (ch *Checker) Refused(customer string) {
+	if ch.Metrics != nil {
+		ch.countFor(RefusalsMetric, customer)
+	}
+}
+
+// countFor counts something of a customer. Requests that need no key are of none.
+func (ch *Checker) countFor(metric, customer string) {
+	if customer != "" {
+		ch.Metrics.GetOrCreateCounter(fmt.Sprintf(`%s{customer=%q}`, metric, ch.label(customer))).Inc()
 	}
 }
 
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -26,6 +26,7 @@
 	Entry      EntryCmd      `cmd:"" help:"Serve callers and trainers behind the platform's balancer."`
 	Platform   PlatformCmd   `cmd:"" help:"Run a role on the users' platform, by the settings file that it writes."`
 	Profile    ProfileCmd    `cmd:"" help:"Check, compare and change what is in force."`
+	Customers  CustomersCmd  `cmd:"" help:"Show the customers that hold keys, and what they asked for."`
 	Quarantine QuarantineCmd `cmd:"" help:"Show and lift what is kept from endpoints, as others ended while they ran it."`
 	Report     ReportCmd     `cmd:"" help:"Tell from the logs of a day what steps waited for."`
 	Soak       SoakCmd       `cmd:"" help:"Run the roles on the platform as processes, under faults, before stand-ins."`
--- /dev/null
+++ b/cmd/customerscmd.go
@@ -0,0 +1,135 @@
+package cmd
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wisteriacroft/access"
+	"wisteriacroft/directory"
+	"wisteriacroft/forward"
+	"wisteriacroft/platform"
+)
+
+// A CustomersCmd shows customers.
+type CustomersCmd struct {
+	List CustomersListCmd `cmd:"" help:"List the customers of the configuration in force: how many keys each holds, and what it asked for."`
+}
+
+// A CustomersListCmd lists customers. It never shows a key.
+type CustomersListCmd struct {
+	Metrics []string      `help:"Metrics addresses of entries, to add up what customers asked for." placeholder:"IP:PORT"`
+	Output  string        `default:"table" enum:"table,json" help:"Form of the output: table or json."`
+	Store   string        `help:"Address of the key-value service of the users' platform." placeholder:"IP:PORT" required:""`
+	Timeout time.Duration `default:"5s" help:"How long to wait for each answer."`
+}
+
+// A customerLine is what is shown of a customer.
+type customerLine struct {
+	Customer string `json:"customer"`
+	Keys     int    `json:"keys"`
+	Priority string `json:"priority"` // "" where the routes' own counts
+	Refusals uint64 `json:"refusals"` // requests that did not run
+	Requests uint64 `json:"requests"`
+}
+
+// Run prints the customers by name.
+func (cc *CustomersListCmd) Run(ctx context.Context, env *ProfileEnv) error {
+	co, err := cc.configuration(ctx)
+	if err != nil {
+		return err
+	}
+	counts := map[string]uint64{}
+	for _, address := range cc.Metrics {
+		if err := cc.addCounts(ctx, address, counts); err != nil {
+			return errors.Wrapf(err, "metrics of %s", address)
+		}
+	}
+	lines := customerLines(co, counts)
+	if cc.Output == "json" {
+		encoder := json.NewEncoder(env.Stdout)
+		encoder.SetIndent("", "  ")
+		return errors.Wrap(encoder.Encode(lines), "print")
+	}
+	pr := printer{out: env.Stdout}
+	if len(lines) == 0 {
+		pr.printf("no customer holds keys, and callers need none\n")
+		return pr.err
+	}
+	pr.table("CUSTOMER\tKEYS\tPRIORITY\tREQUESTS\tREFUSALS", func(tw io.Writer) {
+		for _, cl := range lines {
+			_, _ = fmt.Fprintf(tw, "%s\t%d\t%s\t%d\t%d\n", cl.Customer, cl.Keys, cl.Priority, cl.Requests, cl.Refusals) // kept by the table
+		}
+	})
+	return pr.err
+}
+
+// configuration reads the configuration in force.
+func (cc *CustomersListCmd) configuration(ctx context.Context) (*directory.Configuration, error) {
+	ctx, cancel := context.WithTimeout(ctx, cc.Timeout)
+	defer cancel()
+	so := platform.Source()
+	it, err := platform.NewStore(cc.Store, forward.NewHTTPClient()).Get(ctx, so.ConfigurationKey)
+	if err != nil {
+		return nil, err
+	}
+	return so.DecodeConfigurationFunc(it.Value)
+}
+
+// addCounts adds what an entry's metrics say of customers.
+func (cc *CustomersListCmd) addCounts(ctx context.Context, address string, counts map[string]uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, cc.Timeout)
+	defer cancel()
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+metricsPath, nil)
+	if err != nil {
+		return err
+	}
+	re, err := http.DefaultClient.Do(rq)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = re.Body.Close() }()
+	if re.StatusCode != http.StatusOK {
+		return errors.Newf("status %d", re.StatusCode)
+	}
+	sc := bufio.NewScanner(re.Body)
+	for sc.Scan() {
+		name, value, ok := strings.Cut(sc.Text(), "} ")
+		if !ok || !strings.HasPrefix(name, access.RequestsMetric) && !strings.HasPrefix(name, access.RefusalsMetric) {
+			continue
+		}
+		count, err := strconv.ParseUint(value, 10, 64)
+		if err != nil {
+			return errors.Wrapf(err, "%s", name)
+		}
+		counts[name+"}"] += count
+	}
+	return sc.Err()
+}
+
+// customerLines returns what is shown of each customer, by name.
+func customerLines(co *directory.Configuration, counts map[string]uint64) []customerLine {
+	lines := []customerLine{}
+	for _, cu := range co.Customers {
+		cl := customerLine{
+			Customer: cu.Name, Keys: len(cu.Keys),
+			Refusals: counts[fmt.Sprintf("%s{customer=%q}", access.RefusalsMetric, cu.Name)],
+			Requests: counts[fmt.Sprintf("%s{customer=%q}", access.RequestsMetric, cu.Name)],
+		}
+		if cu.Ranked {
+			cl.Priority = strconv.Itoa(cu.Priority)
+		}
+		lines = append(lines, cl)
+	}
+	slices.SortFunc(lines, func(a, b customerLine) int { return strings.Compare(a.Customer, b.Customer) })
+	return lines
+}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -120,6 +120,7 @@
 		"version": fo.Directory.Configuration().Version,
 	}).Warn("not served")
 	if re.notRun {
+		fo.access().Refused(rq.customer)
 		Refuse(rw, http.StatusServiceUnavailable, max(re.heldFor, fo.refusedRetry()))
 		return
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -95,6 +95,7 @@
 	case begun:
 		panic(http.ErrAbortHandler)
 	case re.notRun:
+		fo.access().Refused(rq.customer)
 		Refuse(rw, http.StatusServiceUnavailable, max(re.heldFor, fullRetry))
 	case re.err != nil:
 		Refuse(rw, http.StatusBadGateway, 0)
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -124,24 +124,36 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
 	defer cancel()
-	it, err := ke.Client.Get(ctx, Key)
-	if err != nil && !errors.Is(err, keyvalue.ErrNotFound) {
-		return err
-	}
-	if err := ke.Table.Load(it.Value, time.Now()); err != nil {
+	version, err := ke.read(ctx)
+	switch {
+	case errors.Is(err, errUndecodable):
 		ke.Log.WithError(err).Error("quarantine does not decode and is written anew")
+	case err != nil:
+		return err
 	}
 	value, err := cbor.Marshal(ke.Table.Records(time.Now()))
 	if err != nil {
 		return errors.Wrap(err, "encode the quarantine")
 	}
-	if _, err := ke.Client.Put(ctx, Key, value, it.Version, 0); err != nil {
+	if _, err := ke.Client.Put(ctx, Key, value, version, 0); err != nil {
 		return err
 	}
 	ke.Table.saved(unsaved)
 	return nil
 }
 
+// errUndecodable means that the value under Key is no list of records.
+var errUndecodable = errors.New("not decodable")
+
+// read takes in what the service holds, and returns its version.
+func (ke *Keeper) read(ctx context.Context) (int64, error) {
+	it, err := ke.Client.Get(ctx, Key)
+	if err != nil && !errors.Is(err, keyvalue.ErrNotFound) {
+		return 0, err
+	}
+	return it.Version, ke.Table.Load(it.Value, time.Now())
+}
+
 // Load merges what the service holds under Key. An empty value holds nothing.
 func (ta *Table) Load(value []byte, now time.Time) error {
 	if len(value) == 0 {
@@ -149,7 +161,7 @@
 	}
 	var res []Record
 	if err := cbor.Unmarshal(value, &res); err != nil {
-		return errors.Wrapf(err, "decode %s", Key)
+		return errors.Wrapf(errUndecodable, "decode %s: %v", Key, err)
 	}
 	ta.Merge(res, now)
 	ta.saved(res)
--- a/quarantine/lift.go
+++ b/quarantine/lift.go
@@ -44,11 +44,8 @@
 
 // Read takes in what the service holds.
 func (ke *Keeper) Read(ctx context.Context) error {
-	it, err := ke.Client.Get(ctx, Key)
-	if err != nil && !errors.Is(err, keyvalue.ErrNotFound) {
-		return err
-	}
-	return ke.Table.Load(it.Value, time.Now())
+	_, err := ke.read(ctx)
+	return err
 }
 
 // Lift lets a request or an item be sent to endpoints again, for an operator who has
--- a/step/load_test.go
+++ b/step/load_test.go
@@ -21,6 +21,7 @@
 	sheet    simSheet
 	lesson   time.Duration // that training takes; 0 means half a second
 	short    int           // groups of a trainer of short items beside the others
+	wide     int           // groups of 16 of a further trainer beside the others
 	each     func(re *replay, at time.Duration)
 }
 
@@ -44,9 +45,25 @@
 	for i := range max(pa.trainers, 1) {
 		trainers = append(trainers, newTrainer(pa.sheet, fmt.Sprintf("model-%d", i), pa.groups, pa.size, max(pa.lesson, 500*time.Millisecond), seed+uint64(100*i)))
 	}
+	if pa.wide > 0 {
+		trainers = append(trainers, newTrainer(pa.sheet, "wide", pa.wide, 16, 500*time.Millisecond, seed+70))
+	}
 	return newReplay(pa.sheet, pa.factors, trainers)
 }
 
+// thirdSlower returns the pace of engines of which a third in a row is 1.27 times
+// slower.
+func thirdSlower(count int) []float64 {
+	fas := factors(count)
+	for i := range fas {
+		fas[i] = 1.06
+		if i >= count*2/3 {
+			fas[i] = 1.35
+		}
+	}
+	return fas
+}
+
 // factors returns the pace of engines, all alike.
 func factors(count int) []float64 {
 	fas := make([]float64, count)
@@ -109,6 +126,10 @@
 			name: "four trainers, little memory, slow engines", factors: mixedFactors(50), groups: 22, size: 8, trainers: 4,
 			sheet: tightSheet,
 		},
+		{
+			name: "four trainers, a third of the engines slower", factors: thirdSlower(38), groups: 22, size: 8, trainers: 2,
+			short: 12, wide: 12, sheet: mixedSheet,
+		},
 		{
 			name: "four trainers, nine engines turn 3.6 times slower", factors: factors(46), groups: 9, size: 16, trainers: 4,
 			lesson: time.Second, sheet: grownSheet,
--- a/step/replay_test.go
+++ b/step/replay_test.go
@@ -30,13 +30,14 @@
 }
 
 // The sheets of the deployments: one trainer before a dozen engines, four
-// before 46, two before 62, whose items are long and short, and four before 50
-// with little memory.
+// before 46, two before 62, whose items are long and short, four before 50 with little
+// memory, and four before 38, of which a third are slower and one asks for wide groups.
 var (
 	smallSheet = simSheet{eventTokens: 64, maxEvents: 195, prompt: 271, slots: 12, tokens: 46422}
 	grownSheet = simSheet{eventTokens: 80, maxEvents: 149, prompt: 1016, slots: 8, tokens: 43562}
 	largeSheet = simSheet{eventTokens: 64, maxEvents: 195, prompt: 276, slots: 6, tokens: 27652}
 	shortSheet = simSheet{eventTokens: 64, maxEvents: 91, prompt: 276, slots: 6, tokens: 27652}
+	mixedSheet = simSheet{eventTokens: 80, maxEvents: 156, prompt: 276, slots: 12, tokens: 39466}
 	tightSheet = simSheet{eventTokens: 80, maxEvents: 154, prompt: 276, slots: 8, tokens: 31632}
 )
 
--- /dev/null
+++ b/step/share_test.go
@@ -0,0 +1,51 @@
+package step
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// shares replays two trainers' worth of customers: one with few groups, and one that asks
+// for ten times as much as the engines bear beside it. It returns the part of the small
+// one's groups that were in time, and of all.
+func shares(seed uint64, anyShare bool) (small, all float64) {
+	trainers := []*simTrainer{newTrainer(smallSheet, "small", 10, 4, 500*time.Millisecond, seed)}
+	for i := range 10 {
+		trainers = append(trainers, newTrainer(smallSheet, fmt.Sprintf("large-%d", i), 10, 4, 500*time.Millisecond, seed+uint64(10*i+10)))
+	}
+	for i, tr := range trainers {
+		tr.customer = "large"
+		if i == 0 {
+			tr.customer = "small"
+		}
+	}
+	re := newReplay(smallSheet, factors(5), trainers)
+	re.table.anyShare = anyShare
+	re.play(dayLength, nil)
+	inTime, owed := 0, 0
+	for _, tr := range trainers {
+		inTime += tr.inTime
+		owed += int(dayLength/tr.every) * tr.target
+	}
+	return float64(trainers[0].inTime) / float64(int(dayLength/trainers[0].every)*trainers[0].target), float64(inTime) / float64(owed)
+}
+
+// One customer asks for ten times what another does, and for more than the engines
+// bear. The other one's steps must not be late for it.
+func TestSmallCustomerBesideALargeOne(t *testing.T) {
+	var small, all, smallBefore, allBefore float64
+	const luck = 4
+	for seed := range uint64(luck) {
+		s, a := shares(seed, false)
+		small, all = small+s/luck, all+a/luck
+		s, a = shares(seed, true)
+		smallBefore, allBefore = smallBefore+s/luck, allBefore+a/luck
+	}
+	t.Logf("small %.3f of all %.3f; by time to spare alone %.3f of %.3f", small, all, smallBefore, allBefore)
+	assert.Assert(t, small >= all/4)
+	assert.Assert(t, small >= all)
+	assert.Assert(t, small > smallBefore)
+}
--- a/step/simtrainer_test.go
+++ b/step/simtrainer_test.go
@@ -12,24 +12,25 @@
 // A simTrainer asks for steps as the deployments' trainers do: step k once
 // version k is named, allowing k-1 and newer, two steps at a time at most.
 type simTrainer struct {
-	carry   []string // groups that come again
-	due     time.Duration
-	every   time.Duration
-	exact   bool // hints are right
-	groups  int
-	lengths map[string]int
-	lesson  time.Duration // that training takes
-	model   string
-	names   map[string][]Item // items by group
-	next    int
-	named   uint64
-	open    []*simStep
-	rng     *rand.Rand
-	sheet   simSheet
-	size    int
-	start   time.Time
-	target  int
-	trains  []time.Time // when the versions after steps that ended are named: one step is trained on after the other
+	carry    []string // groups that come again
+	customer string
+	due      time.Duration
+	every    time.Duration
+	exact    bool // hints are right
+	groups   int
+	lengths  map[string]int
+	lesson   time.Duration // that training takes
+	model    string
+	names    map[string][]Item // items by group
+	next     int
+	named    uint64
+	open     []*simStep
+	rng      *rand.Rand
+	sheet    simSheet
+	size     int
+	start    time.Time
+	target   int
+	trains   []time.Time // when the versions after steps that ended are named: one step is trained on after the other
 
 	inTime, asked int
 	took          []time.Duration
@@ -142,7 +143,7 @@
 	}
 	st := &Step{
 		Accepted: re.now, Due: tr.due, Groups: tr.target, ID: fmt.Sprintf("%s-%d", tr.model, tr.next),
-		MinVersion: uint64(max(tr.next-1, 1)), Model: tr.model, Number: tr.next, Service: "service", MaxAttempts: 3,
+		MinVersion: uint64(max(tr.next-1, 1)), Model: tr.model, Number: tr.next, Service: "service", MaxAttempts: 3, Customer: tr.customer,
 	}
 	carried := tr.carry[:min(len(tr.carry), tr.target/2)]
 	tr.carry = tr.carry[len(carried):]
--- a/step/suspect.go
+++ b/step/suspect.go
@@ -5,7 +5,6 @@
 	"maps"
 	"time"
 
-	"wisteriacroft/quarantine"
 	"wisteriacroft/runner"
 )
 
@@ -133,13 +132,13 @@
 	return ta.quarantine.JudgeItem(ir.digest, now).Held()
 }
 
-// verdict returns what is known of an item, and whether it is to be tried alone.
-func (ta *Table) verdict(ir *itemRow, now time.Time) (ve quarantine.Verdict, tried bool) {
-	ve = ta.quarantine.JudgeItem(ir.digest, now)
+// tried reports whether an item is to be tried alone.
+func (ta *Table) tried(ir *itemRow, now time.Time) bool {
+	strikes := ta.quarantine.JudgeItem(ir.digest, now).Strikes
 	if len(ir.step.ends) >= stepEnds {
-		return ve, ve.Strikes >= stepStrikes
+		return strikes >= stepStrikes
 	}
-	return ve, ve.Strikes >= trialStrikes
+	return strikes >= trialStrikes
 }
 
 // noteEnd notes that an engine ended under a young run of the step.
--- a/step/suspect_test.go
+++ b/step/suspect_test.go
@@ -139,7 +139,6 @@
 		}
 	}
 	for _, ir := range ta.steps["s"].items {
-		_, tried := ta.verdict(ir, at)
-		assert.Assert(t, !tried && !ta.rests(ir, at))
+		assert.Assert(t, !ta.tried(ir, at) && !ta.rests(ir, at))
 	}
 }
--- a/step/table.go
+++ b/step/table.go
@@ -4,134 +4,21 @@
 	"slices"
 	"time"
 
-	"wisteriacroft/incarnation"
-	"wisteriacroft/listing"
 	"wisteriacroft/quarantine"
 	"wisteriacroft/runner"
 )
 
-// An itemState is where an item stands.
-type itemState int
-
-// The states of items.
-const (
-	waiting itemState = iota // for a place at an engine
-	running                  // at the engine of its run
-	scoring                  // the text is whole and waits for its score
-	complete
-	lost // given up
-)
-
-// An itemRow is an item of an open step.
-type itemRow struct {
-	item     *Item
-	digest   quarantine.Digest
-	step     *stepRow
-	state    itemState
-	doneAt   time.Time
-	events   []runner.Event
-	failures int // answers of engines that failed
-	reward   rewardRow
-	saved    int // events that are kept in a checkpoint
-	known    int // events that an earlier run made, at least
-	listed   bool
-	moves    int
-	size     int           // of the text of an item that is complete, in bytes
-	spare    time.Duration // time that it can wait, as of the last placing
-	since    time.Time     // waiting or running since then
-	run      run           // if running
-	target   string        // engine that keeps a place for the item while it moves
-	unwanted string        // engine that the item was moved away from
-}
-
-// A run is the run of an item at an engine.
-type run struct {
-	confirmed bool // the attendant has it
-	engine    string
-	eventAt   time.Time // of the newest event, or of the launch
-	key       runner.Key
-	prior     int    // events that it was launched with
-	said      int    // events that the attendant knows to be here, and one
-	saidEnd   bool   // the attendant knows that the end is known here
-	saidScore string // the score that the attendant keeps
-	stopping  bool
-	version   uint64
-}
-
-// A groupRow counts the items of a group that are not complete.
-type groupRow struct {
-	again  bool // it was in an earlier step too
-	doneAt time.Time
-	left   int
-}
-
-// A stepRow is a step that the scheduler holds.
-type stepRow struct {
-	seenAt      time.Time // this scheduler learned of it
-	step        *Step
-	ended       bool
-	ends        map[string]bool // engines that ended under young runs
-	gauge       *tokenGauge     // of the step's model
-	rewards     *rewardGauge
-	groups      map[string]*groupRow
-	items       []*itemRow
-	chunks      int             // that are listed
-	counted     bool            // counts are known
-	counts      []int           // results of each chunk
-	checkpoints int             // that are kept
-	listedAt    time.Time       // of the last results
-	reads       []*listing.Read // that wait for results
-	readAt      time.Time       // a read last waited
-	why         listing.Reason  // of the last listing
-	writtenAt   time.Time       // results are being written since then; zero if not
-	served      bool            // all that the trainer waits for is listed
-	ending      bool            // the trainer is expected to wait for no more soon
-	results     []Result
-	changed     chan struct{} // closed when results are listed
-	idle        bool          // all items are listed, or it has ended
-	loaded      bool          // results that were listed before this term are in
-}
-
-// An engineRow is an engine and the attendant beside it.
-type engineRow struct {
-	id       string
-	address  string // of the attendant
-	boot     string
-	born     incarnation.Number // the start that the rest is known of
-	forget   map[runner.Key]bool
-	foreign  int  // requests of others that it runs
-	gone     bool // another answers at its address
-	items    map[runner.Key]*itemRow
-	kept     map[runner.Key]*itemRow // whole, and held by the attendant until they are listed
-	leaving  bool
-	order    *runner.Order // wanted, until it holds
-	orderAt  time.Time
-	ordered  bool      // the attendant has the order
-	failed   time.Time // of the last run that it didn't finish
-	heardAt  time.Time // the attendant answered
-	joinedAt time.Time
-	base     time.Duration // of an event of a single short run, as last seen; 0 means unknown
-	report   runner.Report
-	coming   map[*itemRow]bool // items that move here, for which places are kept
-	slowAt   time.Time         // it was much slower than the others
-	slowerAt time.Time         // it has been slower since then without a break
-	sick     bool              // its engine doesn't answer its attendant
-	service  string
-	slots    int
-	tokens   int // memory
-	versions map[string]uint64
-}
-
 // A Table holds the steps that are open and the engines that run them. Its
 // systems decide; what they decide is read off the rows. NewTable makes one.
 type Table struct {
-	attempt uint64    // of the newest run
-	begun   time.Time // of placing
-	engines map[string]*engineRow
-	former  map[string]time.Time // engines whose entries are gone, since when
-	sorted  []*engineRow         // engines by ID, so that equal loads are decided equally
-	rank    func(en *engineRow, ir *itemRow, now time.Time) float64
-	epoch   uint64
+	attempt  uint64    // of the newest run
+	begun    time.Time // of placing
+	engines  map[string]*engineRow
+	former   map[string]time.Time // engines whose entries are gone, since when
+	sorted   []*engineRow         // engines by ID, so that equal loads are decided equally
+	rank     func(en *engineRow, ir *itemRow, now time.Time) float64
+	epoch    uint64
+	anyShare bool // customers' items wait in the order of their time to spare alone, to compare
 	// lengths are the most events that items of ended steps are known to have:
 	// groups that come again bring the items that last longest.
 	lengths map[itemKey]length
