The soak plays customers, keys that come and go, and reports of use

Callers of two customers show keys that are replaced every few seconds; one shows a key that no one holds. Who takes the reports is slow, loses answers and refuses. Checked: no endpoint gets a key or runs for another customer, no held key is denied, no stranger is served, no rule of the reports breaks; without other faults, what was reported of each window is what endpoints ran.

--- a/cmd/soakcmd_test.go
+++ b/cmd/soakcmd_test.go
@@ -37,6 +37,13 @@
 	assert.Assert(t, re.Steps > 0 && re.Served > 0 && len(re.Faults) > 0, "%+v", re)
 }
 
+// TestReportsOfRealProcesses compares what entries, the holder and its clock make of a
+// calm quarter of a minute with what endpoints ran, by customer and window.
+func TestReportsOfRealProcesses(t *testing.T) {
+	re := soakReport(t, "--quiet", "--for", "13s", "--seed", "5", "--engines", "2", "--entries", "2")
+	assert.Assert(t, re.Windows >= 2 && re.Served > 0, "%+v", re)
+}
+
 func TestRequestThatEndsEndpointsOfAllEntries(t *testing.T) {
 	// What one entry has seen of a request that ends its endpoints is not known to
 	// the next one that its client comes to, nor to any after all have been killed,
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -84,12 +84,14 @@
 	}
 	// A reader of its own type can't be read again, so that net/http sends once.
 	body := io.MultiReader(strings.NewReader("body of " + id))
-	return rn.client(cl, entry).Call(ctx, path, id, body, callDeadline)
+	client := rn.client(cl, entry)
+	client.Key = rn.keyOf(id)
+	return client.Call(ctx, path, id, body, callDeadline)
 }
 
 // client returns what speaks to an entry.
 func (rn *run) client(cl *http.Client, entry int) *standin.Client {
-	return &standin.Client{Base: rn.url(entry), HTTP: cl, Host: host}
+	return &standin.Client{Base: rn.url(entry), HTTP: cl, Host: host, Key: rn.world.keys.of(firstCustomer)}
 }
 
 // url returns the address of an entry for callers.
@@ -108,6 +110,15 @@
 	rn.calls.mu.Lock()
 	defer rn.calls.mu.Unlock()
 	for id, out := range rn.calls.seen {
+		if customerOf(id) == "" {
+			if out.status == http.StatusOK {
+				rn.violate("request %s was served, and no customer holds its key", id)
+			}
+			continue
+		}
+		if deniedStatus(out.status) {
+			rn.violate("request %s was denied, and its customer holds its key", id)
+		}
 		rn.report.Calls++
 		if out.status == http.StatusOK {
 			rn.report.Served++
--- /dev/null
+++ b/soak/customer.go
@@ -0,0 +1,207 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"wisteriacroft/platform/standin"
+)
+
+// Customers of the soaked deployment. The trainer is of the first; callers are of both,
+// and one of none.
+const (
+	firstCustomer  = "ada"
+	secondCustomer = "bob"
+	strangerKey    = "key-of-no-customer"
+	stranger       = callers - 1 // the caller that shows it
+)
+
+const (
+	// forceTime is how long a configuration may take to be in force at all entries that
+	// hear of it.
+	forceTime = 3500 * time.Millisecond
+	// usageTime is how long after its end a window is reported at the latest.
+	usageTime = 6 * time.Second
+)
+
+// keys are the customers' keys, of which new ones come and old ones go.
+type keys struct {
+	held    map[string][]string // by customer; the last one comes
+	mu      sync.Mutex
+	number  int
+	shown   map[string]string // that callers show
+	version int64
+}
+
+func newKeys() *keys {
+	ks := &keys{held: map[string][]string{}, shown: map[string]string{}, version: 1}
+	for _, customer := range []string{firstCustomer, secondCustomer} {
+		ks.add(customer)
+		ks.show(customer)
+	}
+	return ks
+}
+
+// add gives a customer one more key.
+func (ks *keys) add(customer string) {
+	ks.mu.Lock()
+	defer ks.mu.Unlock()
+	ks.number++
+	ks.held[customer] = append(ks.held[customer], fmt.Sprintf("key-%d-of-%s", ks.number, customer))
+	ks.version++
+}
+
+// show makes callers show a customer's newest key.
+func (ks *keys) show(customer string) {
+	ks.mu.Lock()
+	defer ks.mu.Unlock()
+	ks.shown[customer] = ks.held[customer][len(ks.held[customer])-1]
+}
+
+// drop takes all keys of a customer but the newest.
+func (ks *keys) drop(customer string) {
+	ks.mu.Lock()
+	defer ks.mu.Unlock()
+	ks.held[customer] = ks.held[customer][len(ks.held[customer])-1:]
+	ks.version++
+}
+
+// of returns the key that a customer's callers show.
+func (ks *keys) of(customer string) string {
+	ks.mu.Lock()
+	defer ks.mu.Unlock()
+	return ks.shown[customer]
+}
+
+// customerOf returns the customer of a request by its id, or "" of a stranger's.
+func customerOf(id string) string {
+	var caller, number int
+	if _, err := fmt.Sscanf(id, "call-%d-%d", &caller, &number); err != nil {
+		return firstCustomer // the trainer's, and the crashing request
+	}
+	switch {
+	case caller == stranger:
+		return ""
+	case caller%2 == 0:
+		return firstCustomer
+	default:
+		return secondCustomer
+	}
+}
+
+// keyOf returns the key that a request shows.
+func (rn *run) keyOf(id string) string {
+	if customer := customerOf(id); customer != "" {
+		return rn.world.keys.of(customer)
+	}
+	return strangerKey
+}
+
+// changeKeys gives one customer after the other a new key, and takes the old one once
+// its callers show the new one.
+func (rn *run) changeKeys(ctx context.Context, length time.Duration) {
+	rng := rand.New(rand.NewPCG(rn.opts.Seed, 17))
+	for end := time.Now().Add(length); !rn.opts.Quiet && time.Now().Before(end) && ctx.Err() == nil; {
+		customer := []string{firstCustomer, secondCustomer}[rng.IntN(2)]
+		rn.note("new key of " + customer)
+		rn.world.keys.add(customer)
+		_ = rn.world.configure(ctx) // ends with ctx
+		sleep(ctx, forceTime)
+		rn.world.keys.show(customer)
+		sleep(ctx, callTime)
+		rn.note("old key taken from " + customer)
+		rn.world.keys.drop(customer)
+		_ = rn.world.configure(ctx) // likewise
+	}
+}
+
+// troubleAuthority makes who takes the reports of use slow, lose answers and refuse.
+func (rn *run) troubleAuthority(ctx context.Context, length time.Duration) {
+	rng := rand.New(rand.NewPCG(rn.opts.Seed, 19))
+	au := rn.world.authority
+	for end := time.Now().Add(length); !rn.opts.Quiet && time.Now().Before(end) && ctx.Err() == nil; {
+		how, name := &au.Slow, "slow"
+		switch rng.IntN(3) {
+		case 0:
+			how, name = &au.Lose, "loses answers"
+		case 1:
+			how, name = &au.Refuse, "refuses"
+		}
+		rn.note("who takes reports " + name)
+		how.Store(true)
+		sleep(ctx, time.Duration(1000+rng.IntN(4000))*time.Millisecond)
+		how.Store(false)
+		sleep(ctx, time.Duration(rng.IntN(2000))*time.Millisecond)
+	}
+}
+
+// judgeCustomers checks for whom endpoints ran what, and the reports of use.
+func (rn *run) judgeCustomers() {
+	for _, no := range rn.deskNotes() {
+		rn.judgeIdentity(no.ID, no.Identity)
+	}
+	for _, en := range rn.world.engines {
+		for _, no := range en.Notes() {
+			rn.judgeIdentity(no.ID, no.Identity)
+		}
+	}
+	for _, broken := range rn.world.authority.Breaks() {
+		rn.violate("reports of use: %s", broken)
+	}
+	if rn.opts.Quiet && !rn.opts.Crashes {
+		rn.judgeCounts()
+	}
+}
+
+func (rn *run) judgeIdentity(id string, who standin.Identity) {
+	if who.Key != "" {
+		rn.violate("an endpoint got the key of %s", id)
+	}
+	if want := customerOf(id); who.Customer != want || want == "" {
+		rn.violate("an endpoint ran %s for %q, not %q", id, who.Customer, want)
+	}
+}
+
+// judgeCounts compares reports with what endpoints ran, but for what began within a
+// tenth of a second of a window's bounds. Calls for scores are no caller's.
+func (rn *run) judgeCounts() {
+	ran, unsure := map[int64]map[string]uint64{}, map[int64]uint64{}
+	for _, no := range rn.deskNotes() {
+		if strings.HasPrefix(no.ID, rewardPrefix) {
+			continue
+		}
+		window := no.At.UnixNano() / int64(standin.UsageWindow)
+		if ran[window] == nil {
+			ran[window] = map[string]uint64{}
+		}
+		ran[window][no.Identity.Customer]++
+		for _, near := range []time.Duration{-100 * time.Millisecond, 100 * time.Millisecond} {
+			if other := no.At.Add(near).UnixNano() / int64(standin.UsageWindow); other != window {
+				unsure[window]++
+				unsure[other]++
+			}
+		}
+	}
+	reports := rn.world.authority.Reports()
+	for window, counts := range ran {
+		if time.Since(time.Unix(0, (window+1)*int64(standin.UsageWindow))) < usageTime {
+			continue
+		}
+		rn.mu.Lock()
+		rn.report.Windows++
+		rn.mu.Unlock()
+		for customer, count := range counts {
+			if got := reports[window][customer]; got > count+unsure[window] || got+unsure[window] < count {
+				rn.violate("window %d of %s was reported as %d, and %d ran", window, customer, got, count)
+			}
+		}
+	}
+}
+
+// deniedStatus reports whether a status denies a request for its key.
+func deniedStatus(status int) bool { return status == http.StatusUnauthorized }
--- a/soak/program.go
+++ b/soak/program.go
@@ -27,7 +27,8 @@
 	cmd     *exec.Cmd
 	ended   chan struct{} // closed when the process has ended
 	mu      sync.Mutex
-	stopped bool // for good
+	resumed time.Time // last
+	stopped bool      // for good
 }
 
 // programName is the name under which the program is started.
@@ -103,6 +104,19 @@
 	default:
 		_ = pg.cmd.Process.Signal(sig)
 	}
+	if sig == syscall.SIGCONT {
+		pg.resumed = time.Now()
+	}
+}
+
+// thawTime is for how long after a program was resumed what it had been about to do may
+// still show.
+const thawTime = 500 * time.Millisecond
+
+func (pg *program) justResumed() bool {
+	pg.mu.Lock()
+	defer pg.mu.Unlock()
+	return time.Since(pg.resumed) < thawTime
 }
 
 // stop ends the process for good.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -36,6 +36,7 @@
 	Faults        []string `json:"faults"`                   // with their times
 	Items         int      `json:"items"`                    // results that were read
 	Steps         int      `json:"steps"`                    // that were whole
+	Windows       int      `json:"windows,omitempty"`        // whose reports of use were compared with what ran
 	Violations    []string `json:"violations"`
 }
 
@@ -94,7 +95,11 @@
 		defer close(crashed)
 		rn.crashDesks(ctx, opts.Length)
 	}()
+	var others sync.WaitGroup
+	others.Go(func() { rn.changeKeys(ctx, opts.Length) })
+	others.Go(func() { rn.troubleAuthority(ctx, opts.Length) })
 	rn.injectAll(ctx, opts.Length)
+	others.Wait()
 	<-crashed
 	<-troubled
 	<-restarted
@@ -108,6 +113,7 @@
 	}
 	rn.judge()
 	rn.judgeCrashes()
+	rn.judgeCustomers()
 	slices.Sort(rn.report.Violations)
 	return rn.report, nil
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -33,13 +33,15 @@
 
 // A world is everything that the soaked programs meet, and the programs.
 type world struct {
-	desks    []*standin.Desk
-	engines  []*standin.Engine
-	programs []*program
-	proxies  []*proxy // to engines and desks
-	servers  []*http.Server
-	store    *standin.Store
-	subnet   string
+	authority *standin.UsageAuthority
+	desks     []*standin.Desk
+	engines   []*standin.Engine
+	keys      *keys
+	programs  []*program
+	proxies   []*proxy // to engines and desks
+	servers   []*http.Server
+	store     *standin.Store
+	subnet    string
 
 	cancel context.CancelFunc
 	beats  sync.WaitGroup
@@ -54,8 +56,12 @@
 
 func newWorld(opts Options) (*world, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	wo := &world{cancel: cancel, store: &standin.Store{}, subnet: fmt.Sprint(40 + opts.Seed%200)}
+	wo := &world{authority: &standin.UsageAuthority{}, cancel: cancel, keys: newKeys(), store: &standin.Store{}, subnet: fmt.Sprint(40 + opts.Seed%200)}
+	wo.authority.Excused = wo.resumed
 	address, err := wo.serve(wo.ip(9, 0)+":9000", wo.store.Handler())
+	if err == nil {
+		_, err = wo.serve(wo.usageAddress(), wo.authority)
+	}
 	if err == nil {
 		err = wo.build(ctx, opts, address)
 	}
@@ -156,6 +162,20 @@
 // operator returns who writes the platform's own keys.
 func (wo *world) operator() *standin.Operator { return &standin.Operator{Store: wo.store} }
 
+// usageAddress returns where reports of use are taken.
+func (wo *world) usageAddress() string { return wo.ip(9, 1) + ":9000" }
+
+// resumed reports whether a program has just been resumed: a call that it was about to
+// make comes then, whoever holds the reports by now.
+func (wo *world) resumed(name string) bool {
+	for _, pg := range wo.programs {
+		if pg.name == name {
+			return pg.justResumed()
+		}
+	}
+	return false
+}
+
 func (wo *world) configure(ctx context.Context) error {
 	route := func(name string, kind directory.Kind, service string) directory.Route {
 		return directory.Route{
@@ -164,7 +184,10 @@
 			Timeout: callDeadline,
 		}
 	}
-	wo.operator().Configure(ctx, directory.Configuration{
+	wo.keys.mu.Lock()
+	defer wo.keys.mu.Unlock()
+	op := &standin.Operator{Keys: wo.keys.held, Store: wo.store}
+	op.Configure(ctx, directory.Configuration{
 		Limits: directory.Limits{BodySize: 1 << 20},
 		Routes: []directory.Route{
 			route("safe", directory.Repeatable, deskService), route("once", directory.Once, deskService),
@@ -173,7 +196,7 @@
 		Services: []directory.Service{
 			{Name: deskService}, {Models: []directory.Model{{Name: model}}, Name: engineService, Slots: slots},
 		},
-		Version: 1,
+		Version: wo.keys.version,
 	})
 	return ctx.Err()
 }
@@ -186,7 +209,7 @@
 	name := fmt.Sprintf("%s-%d", role, number)
 	pg := &program{
 		dir: opts.Dir, ip: ip, name: name, role: role, store: pr,
-		settings: standin.SettingsFile(name, ip, domain, pr.address(), app, peerPort),
+		settings: standin.SettingsFile(name, ip, domain, pr.address(), app, wo.usageAddress(), peerPort),
 	}
 	wo.programs = append(wo.programs, pg)
 	return pg.run(opts.Binary)
