Crashes of many engines at a step's start make no suspects that wait

All items of the step had just begun when the engines crashed; each counted double and was tried alone, one engine of twelve at a time. Ruled out: places (they were free), the rest after three ends (as before the change). Change: an end counts once, as it did; the ends under young runs are remembered apart, two of them make a suspect, which waits 2 s at most to be tried, and an end of a quarter of the engines within a second bars no one. The rule for steps with several is gone. TestCrashesOfManyEnginesHoldNoItemBack fails on the code before.

--- a/step/row.go
+++ b/step/row.go
@@ -69,8 +69,7 @@
 	seenAt      time.Time // this scheduler learned of it
 	step        *Step
 	ended       bool
-	ends        map[string]bool // engines that ended under young runs
-	gauge       *tokenGauge     // of the step's model
+	gauge       *tokenGauge // of the step's model
 	rewards     *rewardGauge
 	groups      map[string]*groupRow
 	items       []*itemRow
--- a/step/suspect.go
+++ b/step/suspect.go
@@ -5,46 +5,47 @@
 	"maps"
 	"time"
 
+	"wisteriacroft/quarantine"
 	"wisteriacroft/runner"
 )
 
 // Weights of finding out which item ends its engines.
 const (
-	// trialTime is for how long after its launch a run is the first to be suspected if
-	// its engine ends: what ends an engine does so when the engine reads it or makes
-	// its first events, and a prompt is read within 200 ms.
+	// trialTime is for how long after its launch a run is young, and the first to be
+	// suspected if its engine ends: what ends an engine does so when the engine reads it
+	// or makes its first events, and a prompt is read within 200 ms.
 	trialTime = time.Second
-	// youngStrikes and oldStrikes are what an engine's end counts against the runs
-	// that it took with it. With twelve items of which one was to blame, all of them
-	// had as many strikes as that one after two ends.
-	youngStrikes = 2
-	oldStrikes   = 1
 	// trialEvents is how many events a tried run makes until it is cleared.
 	trialEvents = 3
-	// trialStrikes is after how many strikes an item is tried: two ends that it was
-	// young at, or three in all. Of a step under whose young runs stepEnds engines
-	// have ended, it is tried after stepStrikes: one that it was young at. It holds
-	// more such items.
-	trialStrikes = 3
-	stepStrikes  = 2
-	stepEnds     = 3
-	// guiltyStrikes is what it counts that an engine ended under a tried item that
-	// alone was young there: it is barred.
-	guiltyStrikes = 6
+	// trialEnds is how many engines end under an item's young runs before it is tried.
+	// One run of some thirty is as young when an engine ends for a reason of its own.
+	trialEnds = 2
+	// trialWait is how long an item waits to be tried. Beyond it, it is placed as
+	// others are: crashes of many engines at the start of a step make suspects of all
+	// its items.
+	trialWait = 2 * time.Second
 	// trialPart is the part of a service's engines that try items at once, so that a
 	// step full of them leaves the others their engines.
 	trialPart = 8
-	// waveEnds is how many other engines end within waveTime when the cause is rather
-	// something that they share than one item each.
-	waveEnds = 3
-	waveTime = time.Second
+	// guiltyStrikes is what it counts that an engine ended under a tried item that
+	// alone was young there: it is barred.
+	guiltyStrikes = 6
+	// leastWave and wavePart say how many other engines end within waveTime when the
+	// cause is rather something that they share than one item each: two, or a quarter
+	// of them.
+	leastWave = 2
+	wavePart  = 4
+	waveTime  = time.Second
+	// maxYoung bounds the items of which ends are remembered.
+	maxYoung = 1000
 )
 
-// A trials knows which engines try an item alone. The zero trials is empty and ready
-// to use.
+// A trials knows which items may end their engines, and which engines try one alone.
+// The zero trials is empty and ready to use.
 type trials struct {
 	byEngine map[string]*itemRow
-	ends     map[string]time.Time // of engines, of late
+	ends     map[string]time.Time      // of engines, of late
+	young    map[quarantine.Digest]int // engines that ended under young runs of an item
 }
 
 // begin notes that an engine tries an item.
@@ -61,7 +62,7 @@
 	if ir == nil {
 		return false
 	}
-	if ir.state == running && ir.run.engine == engine && now.Sub(ir.since) < trialTime && len(ir.events) < ir.run.prior+trialEvents {
+	if ir.state == running && ir.run.engine == engine && ir.young(now) && len(ir.events) < ir.run.prior+trialEvents {
 		return true
 	}
 	delete(tr.byEngine, engine)
@@ -89,6 +90,17 @@
 	return len(tr.ends) - 1
 }
 
+// note notes that an engine ended under a young run of an item.
+func (tr *trials) note(di quarantine.Digest) {
+	if tr.young == nil || len(tr.young) >= maxYoung {
+		tr.young = map[quarantine.Digest]int{}
+	}
+	tr.young[di]++
+}
+
+// young reports whether an item's run has just begun.
+func (ir *itemRow) young(now time.Time) bool { return now.Sub(ir.since) < trialTime }
+
 // suspect notes that a run broke because its engine ended.
 //
 // An item may be what ends its engines. Placed again at once, it went through all
@@ -97,23 +109,19 @@
 //
 // Load pattern: a few items of one step, and of the next ones that bring them again,
 // each end every engine that they reach, with up to a dozen others beside them. The
-// one that began last is suspected first, and tried where no other begins: one that
-// is to blame takes three engines, and not six with all that ran beside it.
+// runs that have just begun are suspected first, and tried where no other begins: one
+// that is to blame takes three engines, and not six with all that ran beside it.
 func (ta *Table) suspect(ir *itemRow, pr runner.Progress, now time.Time) {
 	if !pr.EngineEnded {
 		return
 	}
 	others := ta.trials.end(ir.run.engine, now)
-	weight := oldStrikes
-	young := len(ir.events) == ir.run.prior || now.Sub(ir.since) < trialTime
-	switch {
-	case young && ta.trials.byEngine[ir.run.engine] == ir && others < waveEnds:
-		weight = guiltyStrikes
-	case young:
-		weight = youngStrikes
-	}
+	weight, tried, young := 1, ta.trials.byEngine[ir.run.engine] == ir, ir.young(now)
 	if young {
-		ir.step.noteEnd(ir.run.engine)
+		ta.trials.note(ir.digest)
+	}
+	if young && tried && others < max(leastWave, len(ta.sorted)/wavePart) {
+		weight = guiltyStrikes
 	}
 	for i := range weight {
 		// By the run, since the engine may have started again already.
@@ -123,7 +131,7 @@
 	ta.log("engine ended under an item", map[string]any{
 		attemptField: ir.run.key.Attempt, customerField: ir.step.step.Customer, "digest": ir.digest, engineField: ir.run.engine,
 		"held-ms": ve.HeldFor.Milliseconds(), itemField: ir.item.ID, "others": others, stepField: ir.step.step.ID,
-		"strikes": ve.Strikes, "weight": weight, "young": young,
+		"strikes": ve.Strikes, "tried": tried, "young": young,
 	})
 }
 
@@ -134,19 +142,7 @@
 
 // tried reports whether an item is to be tried alone.
 func (ta *Table) tried(ir *itemRow, now time.Time) bool {
-	strikes := ta.quarantine.JudgeItem(ir.digest, now).Strikes
-	if len(ir.step.ends) >= stepEnds {
-		return strikes >= stepStrikes
-	}
-	return strikes >= trialStrikes
-}
-
-// noteEnd notes that an engine ended under a young run of the step.
-func (sr *stepRow) noteEnd(engine string) {
-	if sr.ends == nil {
-		sr.ends = map[string]bool{}
-	}
-	sr.ends[engine] = true
+	return ta.trials.young[ir.digest] >= trialEnds && now.Sub(ir.since) < trialWait
 }
 
 // chooseTrial returns the engine that is to try an item, or nil: the one that runs the
