--- a/cmd/customerscmd.go
+++ b/cmd/customerscmd.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -55,12 +54,11 @@
 		}
 	}
 	lines := customerLines(co, counts)
+	pr := printer{out: env.Stdout}
 	if cc.Output == "json" {
-		encoder := json.NewEncoder(env.Stdout)
-		encoder.SetIndent("", "  ")
-		return errors.Wrap(encoder.Encode(lines), "print")
+		pr.json(lines)
+		return errors.Wrap(pr.err, "print")
 	}
-	pr := printer{out: env.Stdout}
 	if len(lines) == 0 {
 		pr.printf("no customer holds keys, and callers need none\n")
 		return pr.err
--- a/cmd/customerscmd_test.go
+++ b/cmd/customerscmd_test.go
@@ -26,11 +26,12 @@
 	sv := httptest.NewServer(store.Handler())
 	defer sv.Close()
 	address := strings.TrimPrefix(sv.URL, "http://")
-	const configuration = `{"version":1,"tenants":[{"name":"bob","api_keys":["secret-1"]},{"name":"ada","api_keys":["secret-2","secret-3"],"priority":1}]}`
-	_, err := platform.NewStore(address, nil).Put(t.Context(), platform.Source().ConfigurationKey, []byte(configuration), 0, 0)
+	op := &standin.Operator{Keys: map[string][]string{"ada": {"secret-2", "secret-3"}, "bob": {"secret-1"}}, Store: store}
+	op.Configure(t.Context(), directory.Configuration{Version: 1})
+	so := platform.Source()
+	it, err := platform.NewStore(address, nil).Get(t.Context(), so.ConfigurationKey)
 	assert.NilError(t, err)
-
-	co, err := platform.Source().DecodeConfigurationFunc([]byte(configuration))
+	co, err := so.DecodeConfigurationFunc(it.Value)
 	assert.NilError(t, err)
 	set := metrics.NewSet()
 	ch := &access.Checker{Directory: &directory.Directory{}, Header: "Key", Metrics: set}
@@ -49,3 +50,10 @@
 	cc := &CustomersListCmd{Metrics: []string{address}, Store: address, Timeout: time.Second}
 	assert.ErrorContains(t, cc.Run(context.Background(), &ProfileEnv{}), "metrics of "+address+": status 404")
 }
+
+func TestPriorityOfCustomers(t *testing.T) {
+	lines := customerLines(&directory.Configuration{Customers: []directory.Customer{
+		{Name: "bob"}, {Name: "ada", Priority: 0, Ranked: true},
+	}}, nil)
+	assert.DeepEqual(t, lines, []customerLine{{Customer: "ada", Priority: "0"}, {Customer: "bob"}})
+}
--- a/cmd/quarantinecmd.go
+++ b/cmd/quarantinecmd.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"time"
@@ -69,12 +68,11 @@
 		return err
 	}
 	ens := ke.Table.Entries(time.Now())
+	pr := printer{out: env.Stdout}
 	if qc.Output == "json" {
-		encoder := json.NewEncoder(env.Stdout)
-		encoder.SetIndent("", "  ")
-		return errors.Wrap(encoder.Encode(ens), "print")
+		pr.json(ens)
+		return errors.Wrap(pr.err, "print")
 	}
-	pr := printer{out: env.Stdout}
 	if len(ens) == 0 {
 		pr.printf("nothing is kept from endpoints\n")
 		return pr.err
--- a/cmd/statuscmd.go
+++ b/cmd/statuscmd.go
@@ -69,7 +69,7 @@
 	re := StatusReport{Processes: reports}
 	pr := printer{out: env.Stdout}
 	if sc.Output == "json" {
-		pr.statusJSON(re)
+		pr.json(re)
 	} else {
 		pr.status(re)
 	}
--- a/cmd/statusprinter.go
+++ b/cmd/statusprinter.go
@@ -12,14 +12,14 @@
 // none stands in a table for what is not there.
 const none = "-"
 
-// statusJSON prints a report as one document.
-func (pr *printer) statusJSON(re StatusReport) {
+// json prints a value as one document.
+func (pr *printer) json(value any) {
 	if pr.err != nil {
 		return
 	}
 	en := json.NewEncoder(pr.out)
 	en.SetIndent("", "  ")
-	pr.err = en.Encode(re)
+	pr.err = en.Encode(value)
 }
 
 // status prints a report as tables. Tables without rows are left out.
--- a/step/suspect_test.go
+++ b/step/suspect_test.go
@@ -62,6 +62,29 @@
 	}
 }
 
+// hearAll lets all attendants answer: runs make an event each and end after length of
+// them, but for those of engines that end now.
+func hearAll(ta *Table, ids []string, now time.Time, length int, ends func(en *engineRow) bool) {
+	for _, id := range ids {
+		en := ta.engines[id]
+		ended := ends(en)
+		var re runner.ExchangeResponse
+		for key, ir := range en.items {
+			pr := runner.Progress{First: len(ir.events), Key: key}
+			switch {
+			case ended:
+				pr.EngineEnded, pr.State = true, runner.Broken
+			case len(ir.events) < length:
+				pr.Events = events(len(ir.events)+1, len(ir.events)+1, 1)
+			default:
+				pr.State = runner.Complete
+			}
+			re.Runs = append(re.Runs, pr)
+		}
+		hear(ta, id, re, now)
+	}
+}
+
 // Two items of a step of forty ended each engine that they reached, in a fleet of eight
 // that started again within seconds. Every engine ran five items at once, so that those
 // beside them looked as suspect: the two took six engines each before they were barred,
@@ -77,30 +100,16 @@
 	deadly := map[*itemRow]int{items[3]: 0, items[20]: 0}
 	for at := begin; at.Before(begin.Add(20 * time.Second)); at = at.Add(100 * time.Millisecond) {
 		ta.Place(at)
-		for _, id := range ids {
-			en := ta.engines[id]
+		hearAll(ta, ids, at, 15, func(en *engineRow) bool {
 			ends := false
 			for ir := range deadly {
-				if ir.run.engine == id && ir.state == running {
+				if ir.run.engine == en.id && ir.state == running {
 					ends = true
 					deadly[ir]++
 				}
 			}
-			var re runner.ExchangeResponse
-			for key, ir := range en.items {
-				pr := runner.Progress{First: len(ir.events), Key: key}
-				switch {
-				case ends:
-					pr.EngineEnded, pr.State = true, runner.Broken
-				case len(ir.events) < 15:
-					pr.Events = events(len(ir.events)+1, len(ir.events)+1, 1)
-				default:
-					pr.State = runner.Complete
-				}
-				re.Runs = append(re.Runs, pr)
-			}
-			hear(ta, id, re, at)
-		}
+			return ends
+		})
 	}
 	for ir, ends := range deadly {
 		assert.Assert(t, ends <= 3, "%s took %d engines", ir.item.ID, ends)
@@ -130,22 +139,7 @@
 	for at := begin; at.Before(begin.Add(8 * time.Second)); at = at.Add(50 * time.Millisecond) {
 		ta.Place(at)
 		crash := at.Equal(begin.Add(150*time.Millisecond)) || at.Equal(begin.Add(650*time.Millisecond))
-		for i, id := range ids {
-			var re runner.ExchangeResponse
-			for key, ir := range ta.engines[id].items {
-				pr := runner.Progress{First: len(ir.events), Key: key}
-				switch {
-				case crash && i < 4:
-					pr.EngineEnded, pr.State = true, runner.Broken
-				case len(ir.events) < 60:
-					pr.Events = events(len(ir.events)+1, len(ir.events)+1, 1)
-				default:
-					pr.State = runner.Complete
-				}
-				re.Runs = append(re.Runs, pr)
-			}
-			hear(ta, id, re, at)
-		}
+		hearAll(ta, ids, at, 60, func(en *engineRow) bool { return crash && en.id < "e" })
 		for _, ir := range ta.steps["s"].items {
 			if ir.state != waiting {
 				lastRun[ir] = at
