Figures that their runs do not bear are corrected; only what lasts is sent, tested

Two figures in comments had no run and have one now: 17 us for a thousand keys, 84 us for a thousand votes.

A count of late starts that nothing read is gone. No decision of a role is changed.

--- a/directory/customer.go
+++ b/directory/customer.go
@@ -25,7 +25,7 @@
 // KeyHolder returns the customer that holds a key.
 //
 // It looks at all keys and compares each whole, so that the time that it takes says
-// nothing of how near a guess was. A thousand keys take some 30 us.
+// nothing of how near a guess was. A thousand keys take 17 us.
 func (co *Configuration) KeyHolder(key string) (Customer, bool) {
 	digest := DigestKey(key)
 	found := -1
--- a/usage/book.go
+++ b/usage/book.go
@@ -50,7 +50,6 @@
 type Book struct {
 	Size time.Duration // of a window
 
-	late   uint64 // starts that came after their windows were decided
 	record Record
 	dirty  bool // there is more than what lasts
 }
@@ -95,7 +94,6 @@
 			late += bo.count(st.Customer, WindowOf(when(st.At), bo.Size))
 		}
 	}
-	bo.late += late
 	so.HeardAt, so.Instance, so.Settled = now.UnixMicro(), rq.Instance, when(rq.Settled).UnixMicro()
 	if rq.Final {
 		so.Settled = now.Add(sourceLife).UnixMicro()
--- a/usage/book_test.go
+++ b/usage/book_test.go
@@ -119,3 +119,18 @@
 	var none *Recorder
 	none.Begin("ada").End(true)
 }
+
+// A decision that the service is not known to hold is nothing to send: the next holder
+// would decide anew. Without this check no other test failed, as a write before each
+// call guards the same.
+func TestOnlyDecisionsThatLastAreSent(t *testing.T) {
+	bo := newBook()
+	re := bo.Decide(bookBegin.Add(testWindow + mostWait))[0]
+	ho := &Holder{book: *bo, durable: Record{Next: re.Window}}
+	_, ok := ho.next()
+	assert.Assert(t, !ok)
+	ho.durable.Next = re.Window + 1
+	sent, ok := ho.next()
+	assert.Assert(t, ok)
+	assert.Equal(t, sent.Window, re.Window)
+}
--- a/usage/clock.go
+++ b/usage/clock.go
@@ -18,7 +18,7 @@
 	// instances moves it by 12 ms.
 	slewPart = 0.0002
 	// followEvery is how often the clock looks for the median: attendants vote ten times
-	// a second each, and sorting a thousand votes takes 0.1 ms.
+	// a second each, and to look through a thousand votes takes 84 us.
 	followEvery = 100 * time.Millisecond
 	// voteLife is for how long a vote counts.
 	voteLife = 15 * time.Second
