--- /dev/null
+++ b/capacity/controlplane_test.go
@@ -0,0 +1,399 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"wisteriacroft/directory"
+	"wisteriacroft/keyvalue"
+	"wisteriacroft/lease"
+	"wisteriacroft/message"
+	"wisteriacroft/peer"
+	"wisteriacroft/quarantine"
+	"wisteriacroft/runner"
+	"wisteriacroft/step"
+)
+
+// Sizes of a control plane, for each engine, and its settings.
+const (
+	peerPort        = 7400
+	schedulerCount  = 5
+	modelCount      = 6
+	engineSlots     = 6
+	enginesPerEntry = 1.5
+	joinTime        = 3 * time.Second // within which all endpoints register
+	schedulerTTL    = 2 * time.Second // of the scheduler's lease
+	configKey       = "op/config"
+	endpointPrefix  = "servers/"
+	versionPrefix   = "op/version/"
+	engineService   = "marker-llm"
+)
+
+// Names of roles in tables.
+const (
+	attendantRole = "attendant"
+	entryRole     = "entry"
+	schedulerRole = "scheduler" // at work
+	standbyRole   = "standby"
+	storeRole     = "store"
+)
+
+// A node is one process of a control plane.
+type node struct {
+	address string
+	cancel  context.CancelFunc
+	ctx     context.Context //nolint:containedctx // the lifetime of the process
+	meter   meter
+	name    string // for the profiler: the role, or for a scheduler its own name
+	pool    *peer.Pool
+	server  *http.Server
+
+	mu    sync.Mutex
+	calls keyvalue.Calls // to the key-value service
+	conns []net.Conn
+}
+
+// A scheduling is the process of a scheduler.
+type scheduling struct {
+	*node
+	follower  *directory.Follower
+	scheduler *step.Scheduler
+}
+
+// An entering is the process of an entry.
+type entering struct {
+	*node
+	follower *directory.Follower
+	frontend *step.Frontend
+}
+
+// An attending is the process of an attendant, with its engine.
+type attending struct {
+	*node
+	engine *simulatedEngine
+	id     string
+	runner *runner.Runner
+}
+
+// A controlPlane is one deployment: schedulers, entries, attendants and engines around one
+// key-value service, which use the real code over pipes. Entries serve no live requests.
+type controlPlane struct {
+	attendants []*attending
+	entries    []*entering
+	me         keyvalue.Memory
+	network    network
+	schedulers []*scheduling
+	work       sync.WaitGroup
+}
+
+// newControlPlane returns a control plane of which nothing runs, with a configuration in force.
+func newControlPlane(tb testing.TB, engines int) *controlPlane {
+	cp := &controlPlane{}
+	cp.configure(tb, 1)
+	for i := range schedulerCount {
+		cp.schedulers = append(cp.schedulers, cp.newScheduler(i))
+	}
+	for i := range int(float64(engines)/enginesPerEntry) + 1 {
+		cp.entries = append(cp.entries, cp.newEntry(i))
+	}
+	for i := range engines {
+		cp.attendants = append(cp.attendants, cp.newAttendant(i))
+	}
+	cp.me.SetFaults(keyvalue.Faults{Delay: 4 * time.Millisecond})
+	return cp
+}
+
+// hostAddress returns the peer address of the i-th host of a kind.
+func hostAddress(kind, i int) string {
+	return fmt.Sprintf("10.%d.%d.%d:%d", kind, i/250, 1+i%250, peerPort)
+}
+
+// newNode returns a node that does not serve yet.
+func (cp *controlPlane) newNode(name, address string) *node {
+	no := &node{address: address, name: name}
+	no.ctx, no.cancel = context.WithCancel(context.Background())
+	no.pool = &peer.Pool{
+		Codes: append(step.Codes(), peer.Code{Err: directory.ErrNotFeeder, Name: "not-feeder"},
+			peer.Code{Err: directory.ErrOldEndpoints, Name: "old-endpoints"}),
+		DialFunc: func(ctx context.Context, address string) (net.Conn, error) {
+			co, err := cp.network.dial(ctx, address)
+			if err != nil {
+				return nil, err
+			}
+			return no.track(co), nil
+		},
+		DialTimeout: 500 * time.Millisecond, SilenceTimeout: 1200 * time.Millisecond,
+	}
+	return no
+}
+
+// track returns a metered connection that ends with the node.
+func (no *node) track(co net.Conn) net.Conn {
+	mc := newMeteredConn(co, &no.meter)
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	no.conns = append(no.conns, mc)
+	return mc
+}
+
+// serve serves a node's methods until it is killed.
+func (no *node) serve(cp *controlPlane, sv *peer.Server) {
+	sv.Codes = no.pool.Codes
+	no.server = &http.Server{Handler: sv, ConnContext: func(ctx context.Context, _ net.Conn) context.Context { return ctx }}
+	li := &nodeListener{listener: cp.network.listen(no.address), node: no}
+	cp.work.Go(func() { runAs(no.name, func() { _ = no.server.Serve(li) }) })
+}
+
+// A nodeListener accepts the connections of a node.
+type nodeListener struct {
+	*listener
+	node *node
+}
+
+// Accept implements net.Listener.
+func (nl *nodeListener) Accept() (net.Conn, error) {
+	co, err := nl.listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return nl.node.track(co), nil
+}
+
+// background runs a function of a node until the node is killed.
+func (no *node) background(cp *controlPlane, fn func(ctx context.Context)) {
+	cp.work.Go(func() { runAs(no.name, func() { fn(no.ctx) }) })
+}
+
+// kill ends a node abruptly. Its connections break.
+func (no *node) kill() {
+	no.cancel()
+	if no.server != nil {
+		no.server.Close()
+	}
+	no.pool.Close()
+	no.mu.Lock()
+	conns := no.conns
+	no.conns = nil
+	no.mu.Unlock()
+	for _, co := range conns {
+		co.Close()
+	}
+}
+
+// log returns a log that is formatted and discarded.
+func (no *node) log() *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	return logrus.NewEntry(logger)
+}
+
+// newScheduler returns the i-th scheduler.
+func (cp *controlPlane) newScheduler(i int) *scheduling {
+	no := cp.newNode(fmt.Sprint(schedulerRole, "-", i), hostAddress(1, i))
+	client, log := no.storeClient(&cp.me), no.log()
+	di, qu := &directory.Directory{}, &quarantine.Table{}
+	sc := &step.Scheduler{
+		Directory: di,
+		Holder: &lease.Holder{
+			Client: client, Follow: true, Log: log, Name: step.LeaseName, Owner: no.address, ProbeEvery: 100 * time.Millisecond,
+			TTL: schedulerTTL,
+		},
+		Keep: 2 * time.Minute, Keeper: &step.Store{Client: client}, Log: log, Metrics: metrics.NewSet(), PeerPort: peerPort,
+		Pool: no.pool, Quarantine: qu,
+	}
+	sc.Holder.SuspectFunc = sc.IsDead
+	fo := no.follower(client, di, sc.IsLeader)
+	fo.Quarantine = qu
+	return &scheduling{node: no, follower: fo, scheduler: sc}
+}
+
+// follower returns the follower of a node.
+func (no *node) follower(client *keyvalue.Client, di *directory.Directory, directFunc func() bool) *directory.Follower {
+	return &directory.Follower{
+		Client: client, DirectFunc: directFunc, Directory: di, Feeder: &lease.Resolver{Client: client, Log: no.log(), Name: step.LeaseName},
+		Log: no.log(), Patience: 1200 * time.Millisecond, Pool: no.pool, Source: controlPlaneSchema(),
+	}
+}
+
+// start starts a scheduler.
+func (sg *scheduling) start(cp *controlPlane) {
+	var sv peer.Server
+	sg.scheduler.Register(&sv)
+	directory.RegisterFeed(&sv, sg.follower, sg.name)
+	sg.serve(cp, &sv)
+	sg.background(cp, sg.scheduler.Run)
+	sg.background(cp, sg.follower.Run)
+}
+
+// newEntry returns the i-th entry.
+func (cp *controlPlane) newEntry(i int) *entering {
+	no := cp.newNode(entryRole, hostAddress(2, i))
+	client, di := no.storeClient(&cp.me), &directory.Directory{}
+	fo := no.follower(client, di, func() bool { return false })
+	fr := &step.Frontend{
+		CutOffFunc: func() bool { return di.CutOff(time.Now()) }, Keeper: &step.Store{Client: client}, Log: no.log(), Pool: no.pool,
+		Scheduler: fo.Feeder,
+	}
+	return &entering{node: no, follower: fo, frontend: fr}
+}
+
+// start starts an entry.
+func (eg *entering) start(cp *controlPlane) { eg.background(cp, eg.follower.Run) }
+
+// newAttendant returns the i-th attendant and its engine.
+func (cp *controlPlane) newAttendant(i int) *attending {
+	no := cp.newNode(attendantRole, hostAddress(3, i))
+	en := newSimulatedEngine()
+	rn := &runner.Runner{Engine: en.engine(), Log: no.log(), Metrics: metrics.NewSet()}
+	return &attending{node: no, engine: en, id: fmt.Sprintf("engine-%04d", i), runner: rn}
+}
+
+// start starts an attendant and registers its engine.
+func (ag *attending) start(cp *controlPlane, tb testing.TB) {
+	var sv peer.Server
+	peer.Handle(&sv, runner.ExchangeMethod,
+		func(ctx context.Context, _ message.Header, rq runner.ExchangeRequest) (runner.ExchangeResponse, error) {
+			return ag.runner.Exchange(ctx, rq)
+		})
+	peer.Handle(&sv, runner.LastContactMethod,
+		func(context.Context, message.Header, step.Empty) (runner.LastContactResponse, error) {
+			return ag.runner.LastContact(), nil
+		})
+	ag.serve(cp, &sv)
+	ag.background(cp, ag.runner.Run)
+	cp.register(tb, ag, false)
+}
+
+// register writes the entry of an attendant's engine.
+func (cp *controlPlane) register(tb testing.TB, ag *attending, leaving bool) {
+	en := directory.Endpoint{
+		Address: ag.address, Domain: "fd", ID: ag.id, Leaving: leaving, Service: engineService, Slots: engineSlots,
+		Models: ag.engine.models(),
+	}
+	cp.write(tb, endpointPrefix+ag.id, en)
+}
+
+// unregister deletes the entry of an attendant's engine.
+func (cp *controlPlane) unregister(tb testing.TB, ag *attending) {
+	it, err := cp.me.Client().Get(context.Background(), endpointPrefix+ag.id)
+	assert.NilError(tb, err)
+	assert.NilError(tb, cp.me.Client().Delete(context.Background(), it.Key, it.Version))
+}
+
+// configure puts a configuration in force.
+func (cp *controlPlane) configure(tb testing.TB, version int64) {
+	co := directory.Configuration{Version: version, Services: []directory.Service{{Name: engineService, Slots: engineSlots, Tokens: 27_654}}}
+	for i := range modelCount {
+		co.Services[0].Models = append(co.Services[0].Models, directory.Model{Name: modelName(i)})
+	}
+	cp.write(tb, configKey, co)
+}
+
+// nameVersion announces a version of a model.
+func (cp *controlPlane) nameVersion(tb testing.TB, model int, version uint64) {
+	cp.write(tb, versionPrefix+modelName(model), directory.ModelVersion{Model: modelName(model), Version: version})
+}
+
+// write writes a value to the key-value service.
+func (cp *controlPlane) write(tb testing.TB, key string, value any) {
+	data, err := json.Marshal(value)
+	assert.NilError(tb, err)
+	it, _ := cp.me.Client().Get(context.Background(), key)
+	_, err = cp.me.Client().Put(context.Background(), key, data, it.Version, 0)
+	assert.NilError(tb, err)
+}
+
+func modelName(i int) string { return fmt.Sprint("model-", i) }
+
+// controlPlaneSchema returns the keys of the control plane's directory, whose values are JSON.
+func controlPlaneSchema() directory.Schema {
+	return directory.Schema{
+		ConfigurationKey: configKey, EndpointPrefix: endpointPrefix, OperatorPrefix: "op/", VersionPrefix: versionPrefix,
+		DecodeConfigurationFunc: func(value []byte) (*directory.Configuration, error) {
+			co := &directory.Configuration{}
+			return co, json.Unmarshal(value, co)
+		},
+		DecodeEndpointFunc: func(_ string, value []byte) (directory.Endpoint, error) {
+			var en directory.Endpoint
+			return en, json.Unmarshal(value, &en)
+		},
+		DecodeVersionFunc: func(value []byte) (string, uint64, error) {
+			var mv directory.ModelVersion
+			err := json.Unmarshal(value, &mv)
+			return mv.Model, mv.Version, err
+		},
+	}
+}
+
+// startAll starts all processes at once, while the engines register within joinTime.
+func (cp *controlPlane) startAll(tb testing.TB) {
+	for _, sg := range cp.schedulers {
+		sg.start(cp)
+	}
+	for _, eg := range cp.entries {
+		eg.start(cp)
+	}
+	pause := joinTime / time.Duration(len(cp.attendants))
+	for _, ag := range cp.attendants {
+		ag.start(cp, tb)
+		time.Sleep(pause)
+	}
+}
+
+// stop ends all processes and waits for the last of their calls.
+func (cp *controlPlane) stop() {
+	for _, no := range cp.nodes() {
+		no.kill()
+	}
+	cp.work.Wait()
+	time.Sleep(time.Minute)
+}
+
+// nodes returns all processes.
+func (cp *controlPlane) nodes() []*node {
+	var nos []*node
+	for _, sg := range cp.schedulers {
+		nos = append(nos, sg.node)
+	}
+	for _, eg := range cp.entries {
+		nos = append(nos, eg.node)
+	}
+	for _, ag := range cp.attendants {
+		nos = append(nos, ag.node)
+	}
+	return nos
+}
+
+// atWork returns the scheduler in a term, or nil.
+func (cp *controlPlane) atWork() *scheduling {
+	for _, sg := range cp.schedulers {
+		if sg.ctx.Err() == nil && sg.scheduler.IsLeader() {
+			return sg
+		}
+	}
+	return nil
+}
+
+// roleOf returns the role of a process: schedulers differ by whether they are at work.
+func (cp *controlPlane) roleOf(name string, atWork *scheduling) string {
+	switch {
+	case atWork != nil && name == atWork.name:
+		return schedulerRole
+	case name == entryRole, name == attendantRole, name == storeRole, name == "":
+		return name
+	default:
+		return standbyRole
+	}
+}
