--- a/cmd/platformhost.go
+++ b/cmd/platformhost.go
@@ -121,6 +121,14 @@
 		Patience: feederTimeout, Pool: ho.pool, Quarantine: ho.quarantine, Source: platform.Source(),
 	}
 	ho.metrics.NewGauge("wisteriacroft_unusable_entries", func() float64 { return float64(fo.Unusable()) })
+	for name, count := range map[string]func(fc directory.FeedCounts) int64{
+		"encoded": func(fc directory.FeedCounts) int64 { return fc.Encoded },
+		"gaps":    func(fc directory.FeedCounts) int64 { return fc.Gaps },
+		"partial": func(fc directory.FeedCounts) int64 { return fc.Partial },
+		"whole":   func(fc directory.FeedCounts) int64 { return fc.Whole },
+	} {
+		ho.metrics.NewGauge("wisteriacroft_feed_"+name, func() float64 { return float64(count(fo.FeedCounts())) })
+	}
 	for _, ki := range hold.Kinds {
 		ho.metrics.NewGauge(`wisteriacroft_holds{kind="`+string(ki)+`"}`, func() float64 { return float64(ho.directory.Holds().Count(ki)) })
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"wisteriacroft/broadcast"
 	"wisteriacroft/hold"
 )
 
@@ -33,8 +34,10 @@
 	versions      map[string]uint64    // newest announced version by model
 	synced        bool                 // endpoints have been read once
 	confirmedAt   time.Time            // when the endpoints were last read from the key-value service
-	generation    uint64               // of the endpoints; model versions don't change it
-	holds         *hold.Set            // set by operators
+	changed       broadcast.Signal
+	changes       changeLog // of the endpoints, without model versions
+	revision      uint64    // of the endpoints, with model versions
+	holds         *hold.Set // set by operators
 
 	unavailableSince time.Time // zero while the key-value service responds
 	recoveredAt      time.Time // end of the last outage
@@ -65,6 +68,7 @@
 		di.upsert(en)
 	}
 	di.displaced = nil
+	di.changed.Notify()
 	return true
 }
 
@@ -150,10 +154,11 @@
 		di.drop(other.ID)
 		di.displace(other)
 	}
+	di.endpoints.set(en)
+	di.revision++
 	if !known || old.changed(en) {
-		di.generation++
+		di.recordChange(en.ID)
 	}
-	di.endpoints.set(en)
 	delete(di.missing, en.ID)
 	return replaced
 }
@@ -161,9 +166,10 @@
 // drop removes an endpoint. The lock is held.
 func (di *Directory) drop(id string) {
 	if _, ok := di.endpoints.get(id); ok {
-		di.generation++
+		di.endpoints.remove(id)
+		di.revision++
+		di.recordChange(id)
 	}
-	di.endpoints.remove(id)
 	delete(di.missing, id)
 	delete(di.displaced, id)
 }
@@ -175,17 +181,14 @@
 	defer di.mu.Unlock()
 	var fed endpointSet
 	for _, en := range ens {
-		old, _ := di.endpoints.get(en.ID)
-		if old.Incarnation.Supersedes(en.Incarnation) {
-			en = old // the feeder does not have the new incarnation yet
-		}
-		en.Incarnation = max(en.Incarnation, old.Incarnation)
-		fed.set(en)
+		fed.set(di.newest(en))
 	}
 	di.endpoints = fed
-	di.missing = nil
+	di.missing, di.displaced = nil, nil
 	di.synced = true
-	di.generation++
+	di.revision++
+	di.changes.reset()
+	di.changed.Notify()
 }
 
 // RecordContact records that the key-value service or the feeder responded, even with an
@@ -231,14 +234,6 @@
 	di.confirmedAt = at
 }
 
-// confirmed returns the generation of the endpoints, how long ago they were confirmed, and
-// whether they ever were.
-func (di *Directory) confirmed(now time.Time) (generation uint64, age time.Duration, known bool) {
-	di.mu.RLock()
-	defer di.mu.RUnlock()
-	return di.generation, now.Sub(di.confirmedAt), di.synced && !di.confirmedAt.IsZero()
-}
-
 // RemoveEndpoint removes an endpoint whose entry was removed.
 //
 // Entries also expire during an outage of the key-value service, and endpoints register again
--- a/directory/feed_test.go
+++ b/directory/feed_test.go
@@ -15,12 +15,25 @@
 	"wisteriacroft/lease"
 )
 
+// testBoot is the boot ID of feeders in tests.
+const testBoot = "boot"
+
+// feed responds to a follower once there are changes for it, or after feedWait.
+func (fo *Follower) feed(ctx context.Context, rq FeedRequest) (FeedResponse, error) {
+	up, err := fo.awaitUpdate(ctx, testBoot, rq)
+	if err != nil {
+		return FeedResponse{}, err
+	}
+	re, _ := fo.response(up)
+	return re, nil
+}
+
 func TestFeed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		di := withEndpoint()
 		di.ConfirmEndpoints(time.Now())
 		fo := &Follower{Directory: di}
-		first, err := fo.feed(t.Context(), "boot", FeedRequest{})
+		first, err := fo.feed(t.Context(), FeedRequest{})
 		assert.NilError(t, err)
 		assert.Assert(t, first.Fresh)
 		assert.Equal(t, len(first.Endpoints), 1)
@@ -30,7 +43,7 @@
 		en.Models = []ModelVersion{{Model: "m", Version: 2}}
 		di.SetEndpoint(en)
 		start := time.Now()
-		second, err := fo.feed(t.Context(), "boot", known)
+		second, err := fo.feed(t.Context(), known)
 		assert.NilError(t, err)
 		assert.Assert(t, !second.Fresh, "a new version does not change the generation")
 		assert.Assert(t, time.Since(start) >= feedWait)
@@ -41,7 +54,7 @@
 			di.SetEndpoint(en)
 		})
 		start = time.Now()
-		third, err := fo.feed(t.Context(), "boot", known)
+		third, err := fo.feed(t.Context(), known)
 		assert.NilError(t, err)
 		assert.Assert(t, third.Fresh && third.Endpoints[0].Leaving)
 		assert.Assert(t, time.Since(start) < 150*time.Millisecond)
@@ -56,13 +69,13 @@
 		di.SetConfiguration(&Configuration{Version: 3})
 		di.ConfirmEndpoints(time.Now())
 		feeder := &Follower{Directory: di}
-		first, err := feeder.feed(t.Context(), "boot", FeedRequest{})
+		first, err := feeder.feed(t.Context(), FeedRequest{})
 		assert.NilError(t, err)
 		assert.Equal(t, first.Configuration.Version, int64(3))
 
 		time.AfterFunc(100*time.Millisecond, func() { di.SetConfiguration(&Configuration{Version: 5}) })
 		start := time.Now()
-		second, err := feeder.feed(t.Context(), "boot", FeedRequest{Boot: "boot", Generation: first.Generation, Version: 3})
+		second, err := feeder.feed(t.Context(), FeedRequest{Boot: "boot", Generation: first.Generation, Version: 3})
 		assert.NilError(t, err)
 		assert.Equal(t, second.Configuration.Version, int64(5))
 		assert.Assert(t, !second.Fresh)
@@ -71,9 +84,9 @@
 		logger := logrus.New()
 		logger.SetLevel(logrus.PanicLevel)
 		fed := &Follower{Directory: &Directory{}, Log: logrus.NewEntry(logger)}
-		fed.applyResponse(t.Context(), second)
+		assert.NilError(t, fed.applyResponse(t.Context(), FeedRequest{}, second))
 		assert.Equal(t, fed.Directory.Configuration().Version, int64(5))
-		fed.applyResponse(t.Context(), first) // a delayed response
+		assert.NilError(t, fed.applyResponse(t.Context(), FeedRequest{}, first)) // a delayed response
 		assert.Equal(t, fed.Directory.Configuration().Version, int64(5))
 	})
 }
@@ -111,7 +124,7 @@
 		fo := &Follower{Directory: withEndpoint(), Log: logrus.NewEntry(logger), Source: source()}
 		fo.setUnavailable("servers/", keyvalue.ErrUnavailable)
 		time.Sleep(4 * time.Second)
-		fo.applyResponse(t.Context(), FeedResponse{})
+		assert.NilError(t, fo.applyResponse(t.Context(), FeedRequest{}, FeedResponse{}))
 		time.Sleep(time.Minute)
 		fo.setUnavailable("servers/", nil)
 		fo.applyEndpoints(nil, true)
@@ -127,11 +140,11 @@
 		di.ConfirmEndpoints(time.Now())
 		fo := &Follower{Directory: di}
 		time.Sleep(maxFeedAge + time.Millisecond)
-		_, err := fo.feed(t.Context(), "boot", FeedRequest{})
+		_, err := fo.feed(t.Context(), FeedRequest{})
 		assert.Assert(t, errors.Is(err, ErrOldEndpoints))
 		fo.DirectFunc = func() bool { return false }
 		di.ConfirmEndpoints(time.Now())
-		_, err = fo.feed(t.Context(), "boot", FeedRequest{})
+		_, err = fo.feed(t.Context(), FeedRequest{})
 		assert.Assert(t, errors.Is(err, ErrNotFeeder), "it does not follow the service itself")
 	})
 }
--- /dev/null
+++ b/directory/feeder.go
@@ -0,0 +1,131 @@
+package directory
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wisteriacroft/message"
+	"wisteriacroft/peer"
+	"wisteriacroft/quarantine"
+)
+
+// RegisterFeed registers the RPC method by which other processes get a follower's state. Boot
+// identifies this run of the process.
+func RegisterFeed(sv *peer.Server, fo *Follower, boot string) {
+	peer.HandleEncoded(sv, feedMethod,
+		func(ctx context.Context, _ message.Header, rq FeedRequest) (peer.Encoded[FeedResponse], error) {
+			up, err := fo.awaitUpdate(ctx, boot, rq)
+			if err != nil {
+				return peer.Encoded[FeedResponse]{}, err
+			}
+			return fo.encodeUpdate(up)
+		})
+}
+
+// An update is what a response to a follower has to hold. Equal updates have equal responses.
+type update struct {
+	boot          string
+	configuration bool
+	endpoints     bool
+	holds         bool
+	since         uint64 // the generation that the endpoints follow; unknownGeneration for all endpoints
+	state         feedState
+}
+
+// A feedUpdate is an update with the quarantined requests that go with it.
+type feedUpdate struct {
+	update
+	quarantine []quarantine.Record
+	stale      bool
+}
+
+// isEmpty reports whether the update holds nothing newer than the caller's state. Holds older than the
+// caller's don't count, as the feeder may lag behind; they go with the next response.
+func (up *feedUpdate) isEmpty(rq FeedRequest) bool {
+	newHolds := up.holds && up.state.holds.Version() > rq.Holds
+	return !up.configuration && !up.endpoints && !newHolds && len(up.quarantine) == 0
+}
+
+// awaitUpdate waits until there are changes for the caller, but at most feedWait.
+func (fo *Follower) awaitUpdate(ctx context.Context, boot string, rq FeedRequest) (feedUpdate, error) {
+	end := time.Now().Add(feedWait)
+	fo.quarantine().MergeUnsaved(rq.Unsaved, time.Now())
+	for {
+		changed, quarantined := fo.Directory.Changed(), fo.quarantine().Changed()
+		up, valid, err := fo.update(boot, rq)
+		if err != nil || up.stale || !up.isEmpty(rq) || !time.Now().Before(end) {
+			return up, err
+		}
+		select {
+		case <-ctx.Done():
+			return up, nil
+		case <-time.After(min(time.Until(end), valid)):
+		case <-changed:
+			sleep(ctx, feedPause)
+		case <-quarantined:
+			sleep(ctx, feedPause)
+		}
+	}
+}
+
+// update returns what the caller needs now, and for how long the endpoints stay fresh enough to be sent.
+func (fo *Follower) update(boot string, rq FeedRequest) (feedUpdate, time.Duration, error) {
+	now := time.Now()
+	st, age, known := fo.Directory.feedState(now)
+	st.held = fo.quarantine().Generation()
+	up := feedUpdate{update: update{boot: boot, since: unknownGeneration, state: st}}
+	held := rq.Held
+	if rq.Boot != boot {
+		held = 0
+	}
+	up.quarantine = fo.quarantine().Since(held, now)
+	switch {
+	case fo.direct() && known && age <= maxFeedAge:
+	case len(up.quarantine) > 0:
+		up.stale = true
+		return up, 0, nil
+	case !fo.direct() || !known:
+		return up, 0, ErrNotFeeder
+	default:
+		return up, 0, errors.Wrapf(ErrOldEndpoints, "%s", age)
+	}
+	up.configuration = st.configuration != nil && st.configuration.Version > rq.Version
+	up.holds = st.holds.Version() != rq.Holds
+	up.endpoints = rq.Boot != boot || rq.Generation != st.generation
+	if up.endpoints && rq.Boot == boot && rq.Differences && fo.Directory.coversChanges(rq.Generation) {
+		up.since = rq.Generation
+	}
+	return up, maxFeedAge - age + time.Millisecond, nil
+}
+
+// response returns the response of an update, and whether it is that of the update's state: endpoints
+// may have changed since.
+func (fo *Follower) response(up feedUpdate) (FeedResponse, bool) {
+	re := FeedResponse{
+		Boot: up.boot, Generation: up.state.generation, Held: up.state.held, Quarantine: up.quarantine, Stale: up.stale,
+	}
+	if up.stale {
+		return FeedResponse{Boot: re.Boot, Held: re.Held, Quarantine: re.Quarantine, Stale: true}, false
+	}
+	if up.configuration {
+		re.Configuration = up.state.configuration
+	}
+	if up.holds {
+		re.Holds = up.state.holds.WithVersion(up.state.holds.Version())
+	}
+	if !up.endpoints {
+		return re, true
+	}
+	df, ok := fo.Directory.differences(up.since)
+	if up.since == unknownGeneration || !ok {
+		re.Endpoints, re.Generation = fo.Directory.entries()
+		re.Fresh = true
+	} else {
+		re.Endpoints, re.Removed, re.Generation, re.Total = df.changed, df.removed, df.generation, df.total
+		re.Partial, re.Since = true, up.since
+	}
+	now, _, _ := fo.Directory.feedState(time.Now())
+	return re, now.revision == up.state.revision
+}
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -80,6 +80,8 @@
 	// Quarantine tracks requests that crash their endpoints. Nil tracks none.
 	Quarantine *quarantine.Table
 
+	cache           updateCache
+	counts          feedCounters
 	holdsCheckedAt  time.Time // last read of the holds because the feeder sent older ones
 	lastFeeder      string    // address of the last known feeder
 	emptyQuarantine quarantine.Table
@@ -100,6 +102,7 @@
 			fo.Directory.Expire(time.Now())
 		}
 		cancel()
+		fo.Directory.changed.Notify() // the responses of a feeder that is none any more
 		wg.Wait()
 	}
 }
--- a/directory/holds.go
+++ b/directory/holds.go
@@ -51,6 +51,7 @@
 func (di *Directory) replaceHolds(se *hold.Set) {
 	di.holds = se
 	di.endpoints.clearLists()
+	di.changed.Notify()
 }
 
 // ReadHolds reads the holds from the key-value service and puts them in force, even if they are
@@ -83,11 +84,11 @@
 }
 
 // entries returns the endpoints as in their entries, without the effect of holds, for a process
-// that gets the holds too and applies them itself.
-func (di *Directory) entries() []Endpoint {
+// that gets the holds too and applies them itself, and their generation.
+func (di *Directory) entries() ([]Endpoint, uint64) {
 	di.mu.RLock()
 	defer di.mu.RUnlock()
-	return sortedEndpoints(di.endpoints.byID, "")
+	return sortedEndpoints(di.endpoints.byID, ""), di.changes.generation()
 }
 
 // applyHolds applies the holds if they are among the items. Full means that the items are a
--- a/directory/holds_test.go
+++ b/directory/holds_test.go
@@ -47,7 +47,8 @@
 		en, _ := di.Endpoint("a")
 		assert.Equal(t, en.Leaving, tc.leaving)
 		assert.Equal(t, di.Endpoints("")[0].Leaving, tc.leaving)
-		assert.Assert(t, !di.entries()[0].Leaving)
+		entries, _ := di.entries()
+		assert.Assert(t, !entries[0].Leaving)
 	}
 }
 
@@ -57,7 +58,7 @@
 		di := withEndpoint()
 		di.ConfirmEndpoints(time.Now())
 		feeder := &Follower{Directory: di, Log: quiet()}
-		first, err := feeder.feed(t.Context(), "boot", FeedRequest{})
+		first, err := feeder.feed(t.Context(), FeedRequest{})
 		assert.NilError(t, err)
 		assert.Assert(t, first.Holds == nil)
 		change(t, me.Client(), hold.Held, hold.Customer, "bakery")
@@ -65,15 +66,15 @@
 		assert.NilError(t, err)
 		time.AfterFunc(100*time.Millisecond, func() { feeder.applyHolds(t.Context(), []keyvalue.Item{it}, false) })
 		start := time.Now()
-		second, err := feeder.feed(t.Context(), "boot", FeedRequest{Boot: "boot", Generation: first.Generation})
+		second, err := feeder.feed(t.Context(), FeedRequest{Boot: "boot", Generation: first.Generation})
 		assert.NilError(t, err)
 		assert.Assert(t, time.Since(start) < 150*time.Millisecond)
 
 		fed := &Follower{Directory: &Directory{}, Log: quiet()}
-		fed.applyResponse(t.Context(), second)
+		assert.NilError(t, fed.applyResponse(t.Context(), FeedRequest{}, second))
 		_, held := fed.Directory.Holds().Customer("bakery")
 		assert.Assert(t, held)
-		fed.applyResponse(t.Context(), first) // a delayed response
+		assert.NilError(t, fed.applyResponse(t.Context(), FeedRequest{}, first)) // a delayed response
 		_, held = fed.Directory.Holds().Customer("bakery")
 		assert.Assert(t, held)
 	})
@@ -211,10 +212,10 @@
 		call := func() {
 			feeder.Directory.ConfirmEndpoints(time.Now())
 			start := time.Now()
-			re, err := feeder.feed(t.Context(), "boot", FeedRequest{Boot: "boot", Generation: 1, Holds: fed.Directory.Holds().Version()})
+			re, err := feeder.feed(t.Context(), FeedRequest{Boot: "boot", Generation: 1, Holds: fed.Directory.Holds().Version()})
 			assert.NilError(t, err)
 			assert.Assert(t, re.Fresh || time.Since(start) >= feedWait, "older holds are no update")
-			fed.applyResponse(t.Context(), re)
+			assert.NilError(t, fed.applyResponse(t.Context(), FeedRequest{}, re))
 		}
 		call()
 		assert.Assert(t, isHeld(fed, "bakery"), "the feeder lags behind")
--- a/directory/quarantine_test.go
+++ b/directory/quarantine_test.go
@@ -21,13 +21,13 @@
 		di := withEndpoint()
 		di.ConfirmEndpoints(time.Now())
 		feeder := &Follower{Directory: di, Quarantine: &quarantine.Table{}}
-		first, err := feeder.feed(t.Context(), "boot", FeedRequest{})
+		first, err := feeder.feed(t.Context(), FeedRequest{})
 		assert.NilError(t, err)
 		assert.Equal(t, len(first.Quarantine), 0)
 		time.AfterFunc(100*time.Millisecond, func() { feeder.Quarantine.RecordCrash("request", "a", time.Now()) })
 		start := time.Now()
 		rq := FeedRequest{Boot: "boot", Generation: first.Generation, Held: first.Held}
-		second, err := feeder.feed(t.Context(), "boot", rq)
+		second, err := feeder.feed(t.Context(), rq)
 		assert.NilError(t, err)
 		assert.Assert(t, !second.Fresh && len(second.Quarantine) == 1)
 		assert.Assert(t, time.Since(start) < 150*time.Millisecond)
@@ -39,31 +39,31 @@
 	// exchanged through the last one.
 	synctest.Test(t, func(t *testing.T) {
 		last := &Follower{DirectFunc: func() bool { return false }, Directory: withEndpoint(), Quarantine: &quarantine.Table{}}
-		_, err := last.feed(t.Context(), "boot", FeedRequest{})
+		_, err := last.feed(t.Context(), FeedRequest{})
 		assert.ErrorIs(t, err, ErrNotFeeder)
 		var seen quarantine.Table
 		seen.RecordCrash("request", "a", time.Now())
 		seen.RecordCrash("request", "b", time.Now())
-		sent, err := last.feed(t.Context(), "boot", FeedRequest{Unsaved: seen.Unsaved()})
+		sent, err := last.feed(t.Context(), FeedRequest{Unsaved: seen.Unsaved()})
 		assert.NilError(t, err)
 		assert.Assert(t, sent.Stale && !sent.Fresh && sent.Configuration == nil)
 		assert.Equal(t, len(last.Quarantine.Unsaved()), 2, "the last feeder saves them too")
 
-		received, err := last.feed(t.Context(), "boot", FeedRequest{})
+		received, err := last.feed(t.Context(), FeedRequest{})
 		assert.NilError(t, err)
 		logger := logrus.New()
 		logger.SetLevel(logrus.PanicLevel)
 		other := &Follower{Directory: &Directory{}, Log: logrus.NewEntry(logger), Quarantine: &quarantine.Table{}}
 		other.mergeQuarantine("feeder", received.Quarantine)
 		assert.Assert(t, other.Quarantine.Check("request", time.Now()).Held())
-		_, err = last.feed(t.Context(), "boot", FeedRequest{Boot: "boot", Held: received.Held})
+		_, err = last.feed(t.Context(), FeedRequest{Boot: "boot", Held: received.Held})
 		assert.ErrorIs(t, err, ErrNotFeeder, "nothing new")
 
 		// Once it is a feeder again, it sends the endpoints, but no records that were
 		// already sent.
 		last.DirectFunc = nil
 		last.Directory.ConfirmEndpoints(time.Now())
-		fed, err := last.feed(t.Context(), "boot", FeedRequest{Boot: "boot", Generation: unknownGeneration, Held: received.Held})
+		fed, err := last.feed(t.Context(), FeedRequest{Boot: "boot", Generation: unknownGeneration, Held: received.Held})
 		assert.NilError(t, err)
 		assert.Assert(t, fed.Fresh && !fed.Stale && len(fed.Quarantine) == 0)
 	})
--- a/peer/server.go
+++ b/peer/server.go
@@ -56,6 +56,19 @@
 // or the connection.
 func Handle[Req, Resp any](
 	sv *Server, method string, fn func(ctx context.Context, he message.Header, req Req) (Resp, error),
+) {
+	register(sv, method, func(ctx context.Context, he message.Header, req Req) ([]byte, error) {
+		resp, err := fn(ctx, he, req)
+		if err != nil {
+			return nil, err
+		}
+		return encodePayload(resp)
+	})
+}
+
+// register registers the handler of a method, which returns an encoded response.
+func register[Req any](
+	sv *Server, method string, fn func(ctx context.Context, he message.Header, req Req) ([]byte, error),
 ) {
 	if sv.handlers == nil {
 		sv.handlers = map[string]handler{}
@@ -65,11 +78,7 @@
 		if err := decodePayload(payload, &req); err != nil {
 			return nil, errors.Wrapf(err, "decode the request of %s", method)
 		}
-		resp, err := fn(ctx, he, req)
-		if err != nil {
-			return nil, err
-		}
-		return encodePayload(resp)
+		return fn(ctx, he, req)
 	}
 }
 
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"wisteriacroft/broadcast"
 )
 
 // maxRows bounds the recorded requests, as all are stored in one value.
@@ -13,6 +15,7 @@
 // A Table records the requests that crashed endpoints. Records of other processes can be merged
 // in any order. The zero value is empty and ready to use. It is safe for concurrent use.
 type Table struct {
+	changes    broadcast.Signal
 	generation uint64
 	wake       chan struct{}
 	mu         sync.Mutex
@@ -108,6 +111,7 @@
 	}
 	ta.generation++
 	ro.changed = ta.generation
+	ta.changes.Notify()
 	return true
 }
 
@@ -191,6 +195,9 @@
 	return ta.generation
 }
 
+// Changed returns a channel that is closed at the next new record.
+func (ta *Table) Changed() <-chan struct{} { return ta.changes.Changed() }
+
 // Unsaved returns the records that are not known to be saved.
 func (ta *Table) Unsaved() []Record {
 	ta.mu.Lock()
