--- a/directory/feed_property_test.go
+++ b/directory/feed_property_test.go
@@ -224,6 +224,19 @@
 	}
 }
 
+// Guards against a feeder that panics when it is asked before it knows of any endpoint or configuration.
+func TestFeedOfEmptyDirectory(t *testing.T) {
+	fe := newFeeding(1)
+	fe.feeder.Directory.ConfirmEndpoints(time.Now())
+	up, _, err := fe.feeder.update(testBoot, FeedRequest{Differences: true})
+	assert.NilError(t, err)
+	for range 2 {
+		_, err = fe.feeder.encodeUpdate(up)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, fe.feeder.FeedCounts(), FeedCounts{Encoded: 1, Whole: 2})
+}
+
 // The log of changes is bounded, and covers the newest ones.
 func TestChangeLogIsBounded(t *testing.T) {
 	var cl changeLog
--- a/directory/updatecache.go
+++ b/directory/updatecache.go
@@ -31,7 +31,7 @@
 	ca := &fo.cache
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	if ca.state != up.state || len(ca.encoded) >= maxEncodedUpdates {
+	if ca.encoded == nil || ca.state != up.state || len(ca.encoded) >= maxEncodedUpdates {
 		ca.state, ca.encoded = up.state, map[update]peer.Encoded[FeedResponse]{}
 	}
 	if en, ok := ca.encoded[up.update]; ok {
