--- a/peer/connection.go
+++ b/peer/connection.go
@@ -263,8 +263,12 @@
 	if lastRead.Before(since) {
 		lastRead = since
 	}
-	if now.Sub(lastRead) >= cmp.Or(cn.pool.SilenceTimeout, DefaultSilenceTimeout) {
-		return errors.Wrapf(ErrSilent, "nothing heard for %v", now.Sub(lastRead))
+	quiet := now.Sub(lastRead)
+	switch {
+	case quiet >= cmp.Or(cn.pool.SilenceTimeout, DefaultSilenceTimeout):
+		return errors.Wrapf(ErrSilent, "nothing heard for %v", quiet)
+	case quiet < cmp.Or(cn.pool.PingInterval, DefaultPingInterval)/2:
+		return nil // the connection carries data
 	}
 	select {
 	case cn.writeLock <- struct{}{}:
--- a/runner/await_test.go
+++ b/runner/await_test.go
@@ -1,10 +1,12 @@
 package runner
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 )
 
@@ -27,3 +29,55 @@
 		assert.Equal(t, len(re.Runs), 0)
 	})
 }
+
+func TestExchangeWaitsForLoadedWeights(t *testing.T) {
+	// Guards against an engine that stays unused after a load until the next exchange.
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		rn := newRunner(&fakeEngine{})
+		go rn.Run(ctx)
+		time.Sleep(time.Millisecond)
+		or := Order{Endpoint: "e", Fence: 1, Model: "m", Version: 2}
+		exchange(t, rn, ExchangeRequest{Epoch: 1, Order: &or})
+		begun, loaded := time.Now(), false
+		for !loaded && time.Since(begun) < 5*time.Second {
+			re := exchange(t, rn, ExchangeRequest{Await: 10 * time.Second, Epoch: 1, Order: &or})
+			loaded = re.Ordered == 0 && re.Report.Versions["m"] == 2
+		}
+		assert.Assert(t, time.Since(begun) <= 900*time.Millisecond+2*reportInterval, "%s", time.Since(begun))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestLaterRequestReplacesWaitingOne(t *testing.T) {
+	// Guards against two requests that both return the same end: the item would be requeued, and its
+	// failure counted, twice.
+	synctest.Test(t, func(t *testing.T) {
+		rn := newRunner(&fakeEngine{length: 5})
+		first := make(chan error, 1)
+		go func() {
+			_, err := rn.Exchange(t.Context(), ExchangeRequest{Await: time.Minute, Endpoint: "e", Epoch: 1, Number: 1})
+			first <- err
+		}()
+		synctest.Wait()
+		key := Key{Attempt: 1, Item: "i", Step: "s"}
+		begun := time.Now()
+		re, err := rn.Exchange(t.Context(), ExchangeRequest{Endpoint: "e", Epoch: 1, Launches: []RunRequest{{Endpoint: "e", Key: key}}, Number: 2})
+		assert.NilError(t, err)
+		assert.Equal(t, re.Running, 1)
+		assert.Assert(t, errors.Is(<-first, errOutOfOrder))
+		assert.Equal(t, time.Since(begun), time.Duration(0))
+
+		go func() {
+			_, err := rn.Exchange(t.Context(), ExchangeRequest{Await: time.Minute, Endpoint: "e", Epoch: 1, Number: 3})
+			first <- err
+		}()
+		synctest.Wait()
+		re, err = rn.Exchange(t.Context(), ExchangeRequest{Endpoint: "e", Epoch: 2, Number: 1})
+		assert.NilError(t, err)
+		assert.Equal(t, len(re.Runs), 1, "the next scheduler is told all")
+		assert.Assert(t, errors.Is(<-first, ErrOldEpoch))
+		time.Sleep(time.Second)
+	})
+}
--- a/runner/exchange.go
+++ b/runner/exchange.go
@@ -4,39 +4,63 @@
 	"context"
 	"slices"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Exchange applies the scheduler's request and returns the changes that it has not
-// acknowledged.
+// acknowledged. It waits for news at most as long as the request says.
 func (rn *Runner) Exchange(ctx context.Context, rq ExchangeRequest) (ExchangeResponse, error) {
 	if err := rn.apply(rq); err != nil {
 		return ExchangeResponse{}, err
 	}
-	rn.waitForEnd(ctx, rq.Await)
+	end := time.Now().Add(rq.Await)
+	for {
+		changed := rn.news.Changed()
+		re, done, err := rn.respond(rq, end)
+		if done || err != nil {
+			return re, err
+		}
+		select {
+		case <-ctx.Done():
+			return ExchangeResponse{}, ctx.Err()
+		case <-changed:
+		case <-time.After(time.Until(end)):
+		}
+	}
+}
+
+// respond returns the response to a request that was applied, and whether to send it already. It
+// returns an error if a later request has replaced this one: that one is sent what is new.
+func (rn *Runner) respond(rq ExchangeRequest, end time.Time) (re ExchangeResponse, done bool, err error) {
 	rn.mu.Lock()
 	defer rn.mu.Unlock()
-	return rn.response(), nil
+	switch {
+	case rq.Epoch < rn.epoch:
+		return ExchangeResponse{}, false, errors.Wrapf(ErrOldEpoch, "epoch %d, not %d", rn.epoch, rq.Epoch)
+	case rq.Number < rn.numbers[rq.Endpoint]:
+		return ExchangeResponse{}, false, errors.Wrapf(errOutOfOrder, "number %d, not %d", rq.Number, rn.numbers[rq.Endpoint])
+	case time.Now().Before(end) && rn.noted == rn.reported && !rn.hasUnackedEnd():
+		return ExchangeResponse{}, false, nil
+	}
+	rn.reported = rn.noted
+	return rn.response(), true, nil
 }
 
-// waitForEnd waits at most wait for a run to end. It doesn't wait if the scheduler has yet
-// to acknowledge an ended run.
-func (rn *Runner) waitForEnd(ctx context.Context, wait time.Duration) {
-	rn.mu.Lock()
-	ended := rn.ended
+// hasUnackedEnd reports whether a run has ended and the scheduler has yet to acknowledge that.
+func (rn *Runner) hasUnackedEnd() bool {
 	for _, ru := range rn.runs {
 		if ru.state != Running && ru.ackedState != ru.state {
-			wait = 0
+			return true
 		}
 	}
-	rn.mu.Unlock()
-	if wait <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-ended:
-	case <-time.After(wait):
-	}
+	return false
+}
+
+// note records something that the scheduler should hear of at once. The lock is held.
+func (rn *Runner) note() {
+	rn.noted++
+	rn.news.Notify()
 }
 
 // response returns the changes that the scheduler has not acknowledged.
--- a/runner/message.go
+++ b/runner/message.go
@@ -58,8 +58,8 @@
 
 // An ExchangeRequest carries the scheduler's commands and acknowledgments.
 type ExchangeRequest struct {
-	// Await is how long the response may wait for the end of a run. Zero responds
-	// immediately.
+	// Await is how long the response may wait for news: the end of a run or of an order, other weights,
+	// or a later request, which replaces this one. Zero responds immediately.
 	Await    time.Duration `cbor:",omitempty"`
 	Endpoint string        // the engine that the request concerns
 	Epoch    uint64        // of the scheduler; an older one is refused
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -89,5 +89,6 @@
 	}
 	rn.orderTracker.done = or
 	rn.orderTracker.setOrder(Order{})
+	rn.note()
 	rn.Log.WithFields(logrus.Fields{"endpoint": or.Endpoint, "model": or.Model, "version": or.Version}).Info(message)
 }
--- a/runner/report.go
+++ b/runner/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -25,6 +26,7 @@
 		rn.engine = ""
 	}
 	if is := rn.reachable(); is != was {
+		rn.note()
 		rn.Log.WithFields(logrus.Fields{"dependency": "engine", "error": err, "reachable": is}).Warn("dependency changed")
 	}
 }
@@ -44,6 +46,9 @@
 		rn.handleRestart(re.Incarnation)
 	}
 	re.Incarnation = max(re.Incarnation, current)
+	if !maps.Equal(re.Versions, rn.report.Versions) {
+		rn.note()
+	}
 	rn.report, rn.reportAt = re, time.Now()
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -11,6 +11,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
+
+	"wisteriacroft/broadcast"
 )
 
 const (
@@ -61,12 +63,14 @@
 
 	startedAt     time.Time
 	boot          string
-	ended         chan struct{} // closed when a run ends
-	engine        string        // ID of the engine that answered last, if known
+	engine        string // ID of the engine that answered last, if known
 	wake          chan struct{}
 	epoch         uint64
 	lastCall      time.Time
 	mu            sync.Mutex
+	news          broadcast.Signal  // of requests, and of what the scheduler should hear of at once
+	noted         uint64            // number of such events
+	reported      uint64            // noted at the last response
 	numbers       map[string]uint64 // highest request number of the epoch, by engine
 	orderTracker  orderTracker
 	pacer         pacer
@@ -133,7 +137,6 @@
 	if rn.runs == nil {
 		rn.startedAt = time.Now()
 		rn.boot = uuid.NewString()
-		rn.ended = make(chan struct{})
 		rn.wake = make(chan struct{}, 1)
 		rn.newRunContext = func() (context.Context, context.CancelFunc) { return context.WithCancel(context.Background()) }
 		rn.numbers = map[string]uint64{}
@@ -174,6 +177,7 @@
 		return errors.Wrapf(errOutOfOrder, "number %d, not %d", rq.Number, rn.numbers[rq.Endpoint])
 	}
 	rn.numbers[rq.Endpoint] = rq.Number
+	rn.news.Notify() // an earlier request that still waits is replaced
 	for _, ac := range rq.Seen {
 		if ru, ok := rn.runs[ac.Key]; ok {
 			ru.ackedEvents = min(max(ru.ackedEvents, ac.Events), len(ru.events))
@@ -278,8 +282,7 @@
 	}
 	ru.state, ru.detail, ru.ended = st.State, st.Detail, time.Now()
 	ru.engineEnded = engineEnded && st.State == Broken
-	close(rn.ended)
-	rn.ended = make(chan struct{})
+	rn.note()
 	rn.Metrics.GetOrCreateHistogram(`wisteriacroft_run_seconds{state="` + st.State.String() + `"}`).UpdateDuration(startedAt)
 	rn.Log.WithFields(logrus.Fields{
 		"after": len(rr.Prior), "attempt": rr.Key.Attempt, "detail": st.Detail, "endpoint": rr.Endpoint,
--- a/step/engines.go
+++ b/step/engines.go
@@ -106,7 +106,7 @@
 		return runner.ExchangeRequest{}, false
 	}
 	ta.requests++
-	rq := runner.ExchangeRequest{Await: en.awaitTime(), Endpoint: id, Epoch: ta.epoch, Number: ta.requests, Order: en.order}
+	rq := runner.ExchangeRequest{Await: ta.awaitTime(en), Endpoint: id, Epoch: ta.epoch, Number: ta.requests, Order: en.order}
 	for key, ir := range en.items {
 		if !ir.run.confirmed {
 			rq.Launches = append(rq.Launches, ta.launch(ir))
@@ -117,6 +117,7 @@
 		}
 		if ir.run.stopping {
 			rq.Stops = append(rq.Stops, key)
+			ir.run.stopSent = true
 		}
 	}
 	for key, ir := range en.retained {
@@ -132,33 +133,11 @@
 	return rq, true
 }
 
-// maxAwait is how long an attendant delays its response until a run ends. New launches are
-// delayed as much.
-const maxAwait = 50 * time.Millisecond
-
-// awaitTime returns how long an attendant should delay its response until a run ends.
-//
-// It does so for runs that block progress: the last items of a step, and moving runs, which
-// are resumed only after they have stopped. Doing so for all runs would overload the scheduler.
-func (en *engineRow) awaitTime() time.Duration {
-	for _, ir := range en.items {
-		if ir.run.stopping || ir.isLast() {
-			return maxAwait
-		}
-	}
-	return 0
-}
-
 // isLast reports whether a running item is one of the last that its step waits for.
 func (ir *itemRow) isLast() bool { return ir.step.ending && ir.run.confirmed && !ir.run.stopping }
 
-// runsLastItems reports whether an engine runs one of the last items that a step waits for, so that
-// exchanges follow without a pause.
-func (ta *Table) runsLastItems(id string) bool {
-	en, ok := ta.engines[id]
-	if !ok {
-		return false
-	}
+// runsLastItems reports whether an engine runs one of the last items that a step waits for.
+func (en *engineRow) runsLastItems() bool {
 	for _, ir := range en.items {
 		if ir.isLast() {
 			return true
--- a/step/exchange.go
+++ b/step/exchange.go
@@ -11,42 +11,73 @@
 	"wisteriacroft/runner"
 )
 
-// exchangeUrgent reports whether there is an urgent request to an attendant.
+// Intervals of the exchanges with an attendant.
+const (
+	// minExchangeInterval and maxExchangeInterval bound the time from one exchange to the next without
+	// news. The maximum stays well below deadAfter and responseTimeout.
+	minExchangeInterval = 100 * time.Millisecond
+	maxExchangeInterval = 400 * time.Millisecond
+	// intervalPerEngine is the interval for each engine of the table. Its inverse limits the total rate
+	// of exchanges without news.
+	intervalPerEngine = 500 * time.Microsecond
+	// exchangePause is the pause between two exchanges, in which ends and launches gather.
+	exchangePause = tickInterval
+	// lastItemsPause is the same for engines that run the last items of a step.
+	lastItemsPause = 10 * time.Millisecond
+)
+
+// exchangeUrgent reports whether there is something to send to an attendant that was not sent yet or
+// must be confirmed.
 func (ta *Table) exchangeUrgent(id string) bool {
 	en, ok := ta.engines[id]
-	if !ok {
-		return false
-	}
+	return ok && (en.unconfirmed() || en.unsentStop())
+}
+
+// unconfirmed reports whether the attendant has yet to confirm a launch or an order.
+func (en *engineRow) unconfirmed() bool {
 	for _, ir := range en.items {
-		if !ir.run.confirmed || ir.run.stopping {
+		if !ir.run.confirmed {
 			return true
 		}
 	}
 	return en.order != nil && en.order.Version > 0 && !en.orderAcked
 }
 
-// exchangePause returns the pause after the next exchange with an engine's attendant, unless
-// it is woken earlier.
-//
-// The pause of idle engines grows with the number of engines, since exchanges with thousands of
-// them would overload the scheduler. New items are still sent at once.
-func (ta *Table) exchangePause(id string) time.Duration {
-	switch {
-	case !ta.HasOpenWork():
-		return idleExchangeInterval
-	case ta.runsLastItems(id):
-		return pauseAfterAwait // the response was delayed already
-	case ta.engineIdle(id):
-		return min(max(exchangeInterval, time.Duration(len(ta.engines))*idleIntervalPerEngine), idleExchangeInterval)
-	}
-	return exchangeInterval
+// unsentStop reports whether the attendant has yet to be asked to stop a run.
+func (en *engineRow) unsentStop() bool {
+	for _, ir := range en.items {
+		if ir.run.stopping && !ir.run.stopSent {
+			return true
+		}
+	}
+	return false
 }
 
-// engineIdle reports whether an engine has no runs and no order, and nothing must be sent to its
-// attendant.
-func (ta *Table) engineIdle(id string) bool {
-	en, ok := ta.engines[id]
-	return ok && len(en.items)+len(en.retained)+len(en.toForget) == 0 && en.order == nil
+// exchangeInterval returns the time from one exchange with an attendant to the next if there is no news.
+// It grows with the number of engines, since all exchanges are made by one process.
+func (ta *Table) exchangeInterval() time.Duration {
+	if !ta.HasOpenWork() {
+		return maxExchangeInterval
+	}
+	return min(max(minExchangeInterval, time.Duration(len(ta.engines))*intervalPerEngine), maxExchangeInterval)
+}
+
+// awaitTime returns how long an attendant may wait for news before it responds. Launches and orders are
+// confirmed at once, and so is the first contact.
+func (ta *Table) awaitTime(en *engineRow) time.Duration {
+	if en.respondedAt.IsZero() || en.unconfirmed() {
+		return 0
+	}
+	return ta.exchangeInterval() - exchangePause
+}
+
+// pauseAfterExchange returns the pause after an exchange with an engine's attendant, unless it is woken
+// earlier.
+func (ta *Table) pauseAfterExchange(id string) time.Duration {
+	if en, ok := ta.engines[id]; ok && en.runsLastItems() {
+		return lastItemsPause
+	}
+	return exchangePause
 }
 
 // attendantAddress returns the current address of an engine's attendant, which changes if the engine
@@ -85,23 +116,22 @@
 	}
 }
 
+// errInterrupted means that a request was given up because there is something new to send.
+var errInterrupted = errors.New("exchange was interrupted")
+
 // exchangeLoop exchanges requests and responses with an attendant until its engine is removed or
 // the term ends.
 func (sc *Scheduler) exchangeLoop(te *term, id string, kick chan struct{}) {
 	failed := false
 	for {
-		sc.mu.Lock()
-		rq, ok := te.table.Request(id)
-		pause, address := te.table.exchangePause(id), te.table.attendantAddress(id)
-		if !ok || sc.term != te {
-			delete(te.exchangeKicks, id)
-			sc.mu.Unlock()
+		rq, address, ok := sc.nextRequest(te, id, kick)
+		if !ok {
 			return
 		}
-		sc.mu.Unlock()
-		ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
-		re, err := peer.Call[runner.ExchangeRequest, runner.ExchangeResponse](ctx, sc.Pool, address, runner.ExchangeMethod, rq)
-		cancel()
+		re, err := sc.exchange(address, rq, kick)
+		if errors.Is(err, errInterrupted) {
+			continue
+		}
 		if (err != nil) != failed {
 			failed = err != nil
 			sc.Log.WithFields(logrus.Fields{"dependency": "attendant", engineField: id, "error": err, "lost": failed}).Warn("dependency changed")
@@ -109,22 +139,9 @@
 		if errors.Is(err, runner.ErrOldEpoch) {
 			sc.Holder.Abandon(rq.Epoch)
 		}
+		pause := retryDelay
 		if err == nil {
-			if sc.WallFunc != nil {
-				sc.WallFunc(address, re.Wall)
-			}
-			sc.mu.Lock()
-			now := time.Now()
-			te.table.HandleResponse(id, rq, re, now)
-			if sc.term == te {
-				sc.startRewards(te, now)
-			}
-			te.writeIfUrgent()
-			sc.restartStopped(te, now)
-			sc.mu.Unlock()
-		}
-		if err != nil {
-			pause = retryDelay
+			pause = sc.handleResponse(te, id, address, rq, re)
 		}
 		select {
 		case <-kick:
@@ -132,3 +149,65 @@
 		}
 	}
 }
+
+// nextRequest returns the next request to an engine's attendant and the attendant's address. It returns
+// false if the engine was removed or the term has ended.
+func (sc *Scheduler) nextRequest(te *term, id string, kick chan struct{}) (rq runner.ExchangeRequest, address string, ok bool) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	select {
+	case <-kick: // what it was for is in the request
+	default:
+	}
+	rq, ok = te.table.Request(id)
+	if !ok || sc.term != te {
+		delete(te.exchangeKicks, id)
+		return rq, "", false
+	}
+	return rq, te.table.attendantAddress(id), true
+}
+
+// exchange sends a request to an attendant. One that the attendant may hold is given up when there is
+// something to send: all that its response would have told is told again, as it was not acknowledged.
+func (sc *Scheduler) exchange(address string, rq runner.ExchangeRequest, kick chan struct{}) (runner.ExchangeResponse, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+	defer cancel()
+	if rq.Await == 0 {
+		return peer.Call[runner.ExchangeRequest, runner.ExchangeResponse](ctx, sc.Pool, address, runner.ExchangeMethod, rq)
+	}
+	type result struct {
+		err error
+		re  runner.ExchangeResponse
+	}
+	done := make(chan result, 1)
+	go func() {
+		re, err := peer.Call[runner.ExchangeRequest, runner.ExchangeResponse](ctx, sc.Pool, address, runner.ExchangeMethod, rq)
+		done <- result{err: err, re: re}
+	}()
+	select {
+	case rs := <-done:
+		return rs.re, rs.err
+	case <-kick:
+		return runner.ExchangeResponse{}, errInterrupted
+	}
+}
+
+// handleResponse updates the table with an attendant's response, and returns the pause until the next
+// exchange.
+func (sc *Scheduler) handleResponse(
+	te *term, id, address string, rq runner.ExchangeRequest, re runner.ExchangeResponse,
+) time.Duration {
+	if sc.WallFunc != nil {
+		sc.WallFunc(address, re.Wall)
+	}
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	now := time.Now()
+	te.table.HandleResponse(id, rq, re, now)
+	if sc.term == te {
+		sc.startRewards(te, now)
+	}
+	te.writeIfUrgent()
+	sc.restartStopped(te, now)
+	return te.table.pauseAfterExchange(id)
+}
--- a/step/listing.go
+++ b/step/listing.go
@@ -35,8 +35,8 @@
 	return chunks
 }
 
-// endingSoon is the expected time to the end of a step below which the ends of its last items are awaited, see
-// maxAwait.
+// endingSoon is the expected time to the end of a step below which exchanges with the attendants of its last items
+// follow at lastItemsPause.
 const endingSoon = time.Second
 
 // listingState returns the input of the decision whether to list a step's results.
--- a/step/pace.go
+++ b/step/pace.go
@@ -108,14 +108,14 @@
 		return
 	}
 	if en.slowerSince.IsZero() {
-		en.slowerSince = now
+		en.slowerSince = en.respondedAt
 	}
 	since := slowDelay
 	if float64(en.report.Pace) > verySlowFactor*float64(median) {
 		since = verySlowDelay
 	}
-	if now.Sub(en.slowerSince) < since {
-		return
+	if en.respondedAt.Sub(en.slowerSince) < since {
+		return // one report counts no longer because the next one is late
 	}
 	if !en.slow(now) {
 		ta.log("engine is slow", map[string]any{
--- a/step/row.go
+++ b/step/row.go
@@ -57,6 +57,7 @@
 	ackedEnd    bool   // the end has been acknowledged to the attendant
 	storedScore string // score that the attendant has stored
 	stopping    bool
+	stopSent    bool // the attendant was asked to stop the run
 	version     uint64
 }
 
--- a/step/scheduler.go
+++ b/step/scheduler.go
@@ -27,15 +27,6 @@
 const (
 	// tickInterval is the interval at which a scheduler makes its decisions, see Scheduler.tick.
 	tickInterval = 50 * time.Millisecond
-	// exchangeInterval is the pause between exchanges with an attendant while steps are open.
-	exchangeInterval = 100 * time.Millisecond
-	// idleExchangeInterval is the pause between exchanges while no step is open.
-	idleExchangeInterval = 400 * time.Millisecond
-	// idleIntervalPerEngine is the pause between exchanges with an idle engine for each engine of the
-	// table. Its inverse limits the total rate of these exchanges.
-	idleIntervalPerEngine = 200 * time.Microsecond
-	// pauseAfterAwait is the pause after an exchange whose response waited for the end of a run.
-	pauseAfterAwait = 10 * time.Millisecond
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = time.Second
 	// intakeWait is the duration of a long poll for new and ended steps. Without a recent
