--- a/capacity/controlplane_test.go
+++ b/capacity/controlplane_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,6 +60,11 @@
 	pool    *peer.Pool
 	server  *http.Server
 
+	muted    atomic.Bool // the node's messages are lost
+	rejected atomic.Bool // the key-value service rejects the node's calls
+	// processor is what all messages and calls of the node share; nil stands for one that takes no time.
+	processor *processor
+
 	mu    sync.Mutex
 	calls keyvalue.Calls // to the key-value service
 	conns []net.Conn
@@ -140,7 +146,10 @@
 
 // track returns a metered connection that ends with the node.
 func (no *node) track(co net.Conn) net.Conn {
-	mc := newMeteredConn(co, &no.meter)
+	if no.processor != nil {
+		co = relay(co)
+	}
+	mc := newMeteredConn(co, no)
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	no.conns = append(no.conns, mc)
--- a/capacity/meter_test.go
+++ b/capacity/meter_test.go
@@ -42,25 +42,33 @@
 // A meteredConn is a connection whose traffic a meter counts. Each write is one message.
 type meteredConn struct {
 	net.Conn
-	closing sync.Once
-	meter   *meter
+	closing   sync.Once
+	meter     *meter
+	muted     *atomic.Bool // while set, written data is lost
+	processor *processor   // used by each read; writes hold mutexes, which would stop the clock of a bubble
 }
 
-// newMeteredConn returns a metered connection.
-func newMeteredConn(co net.Conn, me *meter) *meteredConn {
-	me.conns.Add(1)
-	return &meteredConn{Conn: co, meter: me}
+// newMeteredConn returns a connection of a node.
+func newMeteredConn(co net.Conn, no *node) *meteredConn {
+	no.meter.conns.Add(1)
+	return &meteredConn{Conn: co, meter: &no.meter, muted: &no.muted, processor: no.processor}
 }
 
 // Read implements net.Conn.
 func (mc *meteredConn) Read(data []byte) (int, error) {
 	n, err := mc.Conn.Read(data)
 	mc.meter.received.Add(int64(n))
+	if n > 0 {
+		mc.processor.use()
+	}
 	return n, err
 }
 
 // Write implements net.Conn.
 func (mc *meteredConn) Write(data []byte) (int, error) {
+	if mc.muted.Load() {
+		return len(data), nil
+	}
 	n, err := mc.Conn.Write(data)
 	mc.meter.messages.Add(1)
 	mc.meter.sent.Add(int64(n))
--- a/lease/renew.go
+++ b/lease/renew.go
@@ -16,13 +16,12 @@
 // detected before the call times out, the renewal is sent again every ProbeEvery, and the first
 // response counts.
 func (ho *Holder) renew(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, ho.TTL/renewals)
+	waiting, cancel := context.WithTimeout(ctx, ho.TTL/renewals)
 	defer cancel()
 	gr := ho.current()
-	sent, err := ho.probe(ctx, gr.lease)
+	err := ho.probe(ctx, waiting, gr)
 	switch {
 	case err == nil:
-		ho.extend(gr.epoch, ho.expiry(sent))
 	case errors.Is(err, keyvalue.ErrLeaseExpired):
 		ho.unanswered = true // a lease expires only if renewals got no response
 		ho.markExpired(gr.epoch)
@@ -33,41 +32,53 @@
 	}
 }
 
-// probe renews a lease, and returns when the renewal that got a response was sent.
-func (ho *Holder) probe(ctx context.Context, id keyvalue.LeaseID) (time.Time, error) {
+// probe renews the lease of a grant and waits for the response until waiting ends.
+//
+// Responses that arrive later still extend the lease, up to its time to live after their renewal was
+// sent. An overloaded process may get each response a second late, and would lose its lease though
+// the service renews it.
+func (ho *Holder) probe(ctx, waiting context.Context, gr grant) error {
 	if ho.ProbeEvery <= 0 {
-		return time.Now(), ho.Client.KeepAlive(ctx, id)
+		return ho.keepAlive(waiting, gr)
 	}
-	type response struct {
-		err  error
-		sent time.Time
-	}
-	responses := make(chan response)
+	responses := make(chan error)
 	ti := time.NewTicker(ho.ProbeEvery)
 	defer ti.Stop()
 	for {
-		go func(sent time.Time) {
-			re := response{err: ho.Client.KeepAlive(ctx, id), sent: sent}
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, ho.TTL)
+			defer cancel()
+			err := ho.keepAlive(ctx, gr)
 			select {
-			case responses <- re:
-			case <-ctx.Done():
+			case responses <- err:
+			case <-waiting.Done():
 			}
-		}(time.Now())
-		for waiting := true; waiting; {
+		}()
+		for next := false; !next; {
 			select {
-			case re := <-responses:
-				if re.err == nil || errors.Is(re.err, keyvalue.ErrLeaseExpired) {
-					return re.sent, re.err
+			case err := <-responses:
+				if err == nil || errors.Is(err, keyvalue.ErrLeaseExpired) {
+					return err
 				}
 			case <-ti.C:
-				waiting = false
-			case <-ctx.Done():
-				return time.Time{}, errors.Wrap(keyvalue.ErrUnavailable, ctx.Err().Error())
+				next = true
+			case <-waiting.Done():
+				return errors.Wrap(keyvalue.ErrUnavailable, waiting.Err().Error())
 			}
 		}
 	}
 }
 
+// keepAlive sends one renewal, and extends the grant by its response.
+func (ho *Holder) keepAlive(ctx context.Context, gr grant) error {
+	sent := time.Now()
+	err := ho.Client.KeepAlive(ctx, gr.lease)
+	if err == nil {
+		ho.extend(gr.epoch, ho.expiry(sent))
+	}
+	return err
+}
+
 // markExpired records that the service reported the lease as expired. The grant is kept until
 // another holder is found.
 func (ho *Holder) markExpired(epoch uint64) {
@@ -78,11 +89,12 @@
 	}
 }
 
-// extend sets the expiry of the grant of an epoch, unless it was replaced meanwhile.
+// extend sets the expiry of the grant of an epoch, unless the grant was replaced or extended further
+// meanwhile.
 func (ho *Holder) extend(epoch uint64, until time.Time) {
 	ho.mu.Lock()
 	defer ho.mu.Unlock()
-	if ho.grant.epoch == epoch {
+	if ho.grant.epoch == epoch && until.After(ho.grant.until) {
 		ho.grant.until = until
 	}
 }
--- a/step/exchange.go
+++ b/step/exchange.go
@@ -20,6 +20,10 @@
 	// intervalPerEngine is the interval for each engine of the table. Its inverse limits the total rate
 	// of exchanges without news.
 	intervalPerEngine = 500 * time.Microsecond
+	// maxRunInterval and maxIdleInterval bound the interval of an overloaded scheduler, for engines with
+	// runs and without. The first stays well below responseTimeout.
+	maxRunInterval  = 600 * time.Millisecond
+	maxIdleInterval = 1200 * time.Millisecond
 	// exchangePause is the pause between two exchanges, in which ends and launches gather.
 	exchangePause = tickInterval
 	// lastItemsPause is the same for engines that run the last items of a step.
@@ -63,12 +67,18 @@
 }
 
 // awaitTime returns how long an attendant may wait for news before it responds. Launches and orders are
-// confirmed at once, and so is the first contact.
+// confirmed at once, and so is the first contact. An overloaded scheduler exchanges less often with
+// engines that run nothing than with the others.
 func (ta *Table) awaitTime(en *engineRow) time.Duration {
 	if en.respondedAt.IsZero() || en.unconfirmed() {
 		return 0
 	}
-	return ta.exchangeInterval() - exchangePause
+	interval, limit := ta.exchangeInterval(), maxRunInterval
+	if len(en.items) == 0 && en.order == nil {
+		limit = maxIdleInterval
+	}
+	stretched := time.Duration(float64(interval) * max(ta.exchangeStretch, 1))
+	return max(interval, min(stretched, limit)) - exchangePause
 }
 
 // pauseAfterExchange returns the pause after an exchange with an engine's attendant, unless it is woken
@@ -128,10 +138,14 @@
 		if !ok {
 			return
 		}
+		begun := time.Now()
 		re, err := sc.exchange(address, rq, kick)
 		if errors.Is(err, errInterrupted) {
 			continue
 		}
+		if took := time.Since(begun); err == nil && took >= rq.Await {
+			sc.pressure.Observe(took - rq.Await)
+		}
 		if (err != nil) != failed {
 			failed = err != nil
 			sc.Log.WithFields(logrus.Fields{"dependency": "attendant", engineField: id, "error": err, "lost": failed}).Warn("dependency changed")
@@ -159,6 +173,7 @@
 	case <-kick: // what it was for is in the request
 	default:
 	}
+	te.table.exchangeStretch = sc.pressure.Stretch()
 	rq, ok = te.table.Request(id)
 	if !ok || sc.term != te {
 		delete(te.exchangeKicks, id)
@@ -170,7 +185,7 @@
 // exchange sends a request to an attendant. One that the attendant may hold is given up when there is
 // something to send: all that its response would have told is told again, as it was not acknowledged.
 func (sc *Scheduler) exchange(address string, rq runner.ExchangeRequest, kick chan struct{}) (runner.ExchangeResponse, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout+rq.Await)
 	defer cancel()
 	if rq.Await == 0 {
 		return peer.Call[runner.ExchangeRequest, runner.ExchangeResponse](ctx, sc.Pool, address, runner.ExchangeMethod, rq)
--- a/step/scheduler.go
+++ b/step/scheduler.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"wisteriacroft/backpressure"
 	"wisteriacroft/directory"
 	"wisteriacroft/forward"
 	"wisteriacroft/hold"
@@ -27,7 +28,7 @@
 const (
 	// tickInterval is the interval at which a scheduler makes its decisions, see Scheduler.tick.
 	tickInterval = 50 * time.Millisecond
-	// exchangeTimeout bounds one exchange.
+	// exchangeTimeout bounds one exchange, without the time that the attendant may wait for news.
 	exchangeTimeout = time.Second
 	// intakeWait is the duration of a long poll for new and ended steps. Without a recent
 	// response nothing is started, since the step of an item may have ended.
@@ -87,8 +88,9 @@
 	stepAccepted     chan struct{} // wakes Run after a step was accepted
 	measuredServices map[string]ServiceLoad
 	mu               sync.Mutex
-	termEndedAt      time.Time // when the last term ended
-	term             *term     // nil without the lease
+	pressure         backpressure.Gauge // how late responses of attendants are
+	termEndedAt      time.Time          // when the last term ended
+	term             *term              // nil without the lease
 }
 
 // A term is a period in which a scheduler holds the lease without another holder in between.
--- a/step/table.go
+++ b/step/table.go
@@ -37,10 +37,12 @@
 	reusableItems map[itemKey]*itemRow
 	quarantine    *quarantine.Table // of items that crash engines
 	requests      uint64            // number of requests to attendants
-	rewards       *rewardEstimator
-	usage         customerUsage
-	steps         map[string]*stepRow
-	trials        trials // of items suspected to crash engines
+	// exchangeStretch is the factor by which exchanges without news are put off; 0 stands for 1.
+	exchangeStretch float64
+	rewards         *rewardEstimator
+	usage           customerUsage
+	steps           map[string]*stepRow
+	trials          trials // of items suspected to crash engines
 	// unscored are the items in state scoring.
 	unscored       map[*itemRow]bool
 	stoppedItems   []*itemRow        // moving items whose runs have stopped
