--- a/capacity/controlplane_test.go
+++ b/capacity/controlplane_test.go
@@ -224,7 +224,7 @@
 	}
 	sc.Holder.SuspectFunc = sc.IsDead
 	fo := no.follower(client, di, sc.IsLeader)
-	fo.Quarantine = qu
+	fo.Address, fo.HolderFunc, fo.Patience, fo.Quarantine = no.address, sc.Holder.OtherHolder, 300*time.Millisecond, qu
 	return &scheduling{node: no, follower: fo, scheduler: sc}
 }
 
@@ -232,7 +232,7 @@
 func (no *node) follower(client *keyvalue.Client, di *directory.Directory, directFunc func() bool) *directory.Follower {
 	return &directory.Follower{
 		Client: client, DirectFunc: directFunc, Directory: di, Feeder: &lease.Resolver{Client: client, Log: no.log(), Name: step.LeaseName},
-		Log: no.log(), Patience: 1200 * time.Millisecond, Pool: no.pool, Source: controlPlaneSchema(),
+		Log: no.log(), Name: no.address, Patience: 1200 * time.Millisecond, Pool: no.pool, Source: controlPlaneSchema(),
 	}
 }
 
--- /dev/null
+++ b/capacity/lostfeeder_test.go
@@ -0,0 +1,79 @@
+package capacity
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriacroft/keyvalue"
+)
+
+// Guards against calls to the key-value service by the number of entries while the feeder is lost, cut
+// off from the service or silent: a standby feeds the entries in its place. Meanwhile a leaving endpoint
+// still reaches all entries in time.
+func TestEntriesWithoutFeeder(t *testing.T) {
+	const engines = 60
+	for _, tc := range []struct {
+		name  string
+		lose  func(sg *scheduling)
+		calls float64 // paid, for each entry
+	}{
+		{"killed", func(sg *scheduling) { sg.kill() }, 0},
+		{"rejected by the key-value service", func(sg *scheduling) { sg.rejected.Store(true) }, 0},
+		{"silent", func(sg *scheduling) {
+			sg.muted.Store(true)
+			sg.rejected.Store(true)
+		}, 0.2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			bubble(t, func() {
+				cp := newControlPlane(t, engines)
+				defer cp.stop()
+				cp.startAll(t)
+				waitUntil(func() bool { return cp.allKnow(engines) })
+				time.Sleep(2 * time.Second)
+				ph := cp.measure(nil, "lost", func() {
+					tc.lose(cp.atWork())
+					time.Sleep(300 * time.Millisecond)
+					cp.register(t, cp.attendants[0], true)
+					known := waitUntil(func() bool { return cp.allKnow(engines - 1) })
+					assert.Assert(t, known < 2*time.Second, "%s", known)
+					time.Sleep(7 * time.Second)
+				})
+				calls := ph.shares[entryRole].calls
+				each := paidCalls(calls) / float64(len(cp.entries))
+				t.Logf("%.2f calls by each entry, %+v in all", each, calls)
+				assert.Assert(t, each <= tc.calls, "%.2f", each)
+				assert.Assert(t, cp.atWork() != nil)
+				for _, sg := range cp.schedulers {
+					sg.muted.Store(false)
+				}
+			})
+		})
+	}
+}
+
+// Guards against calls of all entries in an outage of the key-value service, which would only add to
+// its load: each entry tries ever less often.
+func TestEntriesInOutage(t *testing.T) {
+	const engines = 60
+	bubble(t, func() {
+		cp := newControlPlane(t, engines)
+		defer cp.stop()
+		cp.startAll(t)
+		waitUntil(func() bool { return cp.allKnow(engines) })
+		time.Sleep(2 * time.Second)
+		ph := cp.measure(nil, "outage", func() {
+			cp.me.SetFaults(keyvalue.Faults{Delay: 4 * time.Millisecond, Outage: true})
+			time.Sleep(8 * time.Second)
+			cp.me.SetFaults(keyvalue.Faults{Delay: 4 * time.Millisecond})
+			cp.register(t, cp.attendants[0], true)
+			known := waitUntil(func() bool { return cp.allKnow(engines - 1) })
+			assert.Assert(t, known < 2*time.Second, "%s", known)
+		})
+		each := paidCalls(ph.shares[entryRole].calls) / float64(len(cp.entries))
+		t.Logf("%.2f calls by each entry", each)
+		assert.Assert(t, each <= 8, "%.2f", each)
+	})
+}
--- a/cmd/platformhost.go
+++ b/cmd/platformhost.go
@@ -118,7 +118,7 @@
 func (ho *host) follower(direct func() bool) *directory.Follower {
 	fo := &directory.Follower{
 		Client: ho.store, DirectFunc: direct, Directory: ho.directory, Feeder: ho.resolver, Log: ho.log,
-		Patience: feederTimeout, Pool: ho.pool, Quarantine: ho.quarantine, Source: platform.Source(),
+		Name: ho.settings.Instance, Patience: feederTimeout, Pool: ho.pool, Quarantine: ho.quarantine, Source: platform.Source(),
 	}
 	ho.metrics.NewGauge("wisteriacroft_unusable_entries", func() float64 { return float64(fo.Unusable()) })
 	for name, count := range map[string]func(fc directory.FeedCounts) int64{
--- a/cmd/platformschedulercmd.go
+++ b/cmd/platformschedulercmd.go
@@ -27,6 +27,9 @@
 	// probeInterval is how often a scheduler retries the key-value service during an outage. It
 	// bounds the delay until the scheduler notices the end of the outage.
 	probeInterval = 100 * time.Millisecond
+	// standbyPatience is how long a standby waits for its feeder before it feeds entries in its place. It
+	// is shorter than feederTimeout, so that no entry has to read from the key-value service.
+	standbyPatience = 300 * time.Millisecond
 	// releaseTimeout bounds the release of the lease.
 	releaseTimeout = time.Second
 	// markRetryInterval is the interval of attempts to mark an instance as retired.
@@ -68,6 +71,7 @@
 	ts.Register(&ps)
 	ho.scaleEndpoints(lc, &ps, &loadView{aggregator: la, directory: ho.directory, forwarder: fw, scheduler: sc})
 	fo := ho.follower(sc.IsLeader)
+	fo.Address, fo.HolderFunc, fo.Patience = ho.settings.PeerAddress, sc.Holder.OtherHolder, standbyPatience
 	fo.Own = platform.RetireKey(ho.settings.Instance)
 	directory.RegisterFeed(&ps, fo, uuid.NewString())
 	fo.OperatorFunc = func(it keyvalue.Item) {
--- a/directory/differences.go
+++ b/directory/differences.go
@@ -13,6 +13,7 @@
 	held          uint64 // generation of the quarantined requests
 	holds         *hold.Set
 	revision      uint64
+	standbys      string // see standbyList.joined
 }
 
 // Changed returns a channel that is closed at the next change of the endpoints, the configuration or
--- a/directory/feed.go
+++ b/directory/feed.go
@@ -44,13 +44,16 @@
 // A FeedRequest asks for everything that differs from the caller's state: the endpoints, the
 // configuration, the holds and the quarantined requests.
 type FeedRequest struct {
-	Boot string // boot ID of the process that Generation and Held belong to
+	Address string `cbor:",omitempty"` // of a caller that can feed others
+	Boot    string // boot ID of the process that Generation and Held belong to
 	// Differences means that the caller can apply a partial response. Processes of earlier releases
 	// can't.
 	Differences bool `cbor:",omitempty"`
 	Generation  uint64
 	Held        uint64              // generation of the quarantined requests
 	Holds       int64               // version of the operators' holds; 0 for none
+	Probe       bool                `cbor:",omitempty"` // asks only whether the process feeds
+	Standbys    uint64              `cbor:",omitempty"` // see hashStandbys
 	Unsaved     []quarantine.Record `cbor:",omitempty"` // records that the caller could not save yet
 	Version     int64               // of the configuration; 0 for none
 }
@@ -64,13 +67,17 @@
 	Fresh         bool
 	Generation    uint64
 	Held          uint64
+	Holder        string              `cbor:",omitempty"` // if Stale: address of the feeder, as far as known
 	Holds         *hold.Set           `cbor:",omitempty"` // if other than the caller's
 	Partial       bool                `cbor:",omitempty"`
 	Quarantine    []quarantine.Record `cbor:",omitempty"`
 	Removed       []string            `cbor:",omitempty"` // IDs of endpoints, if Partial
 	Since         uint64              `cbor:",omitempty"` // the generation that a partial response follows
-	// Stale means that only Quarantine is set: the process is not a feeder, or its endpoints
-	// are stale.
+	// Stale means that only Holder and Quarantine are set: the process is not a feeder, or its
+	// endpoints are stale.
 	Stale bool `cbor:",omitempty"`
-	Total int  `cbor:",omitempty"` // endpoints of the feeder, if Partial
+	// Standbys are the addresses of the processes that feed while this one is away, if other than the
+	// caller's, separated by spaces.
+	Standbys string `cbor:",omitempty"`
+	Total    int    `cbor:",omitempty"` // endpoints of the feeder, if Partial
 }
--- a/directory/feeder.go
+++ b/directory/feeder.go
@@ -30,6 +30,7 @@
 	configuration bool
 	endpoints     bool
 	holds         bool
+	standbys      bool
 	since         uint64 // the generation that the endpoints follow; unknownGeneration for all endpoints
 	state         feedState
 }
@@ -37,6 +38,7 @@
 // A feedUpdate is an update with the quarantined requests that go with it.
 type feedUpdate struct {
 	update
+	holder     string // if stale
 	quarantine []quarantine.Record
 	stale      bool
 }
@@ -52,10 +54,11 @@
 func (fo *Follower) awaitUpdate(ctx context.Context, boot string, rq FeedRequest) (feedUpdate, error) {
 	end := time.Now().Add(feedWait)
 	fo.quarantine().MergeUnsaved(rq.Unsaved, time.Now())
+	fo.known.add(rq.Address, time.Now())
 	for {
 		changed, quarantined := fo.Directory.Changed(), fo.quarantine().Changed()
 		up, valid, err := fo.update(boot, rq)
-		if err != nil || up.stale || !up.isEmpty(rq) || !time.Now().Before(end) {
+		if err != nil || up.stale || rq.Probe || !up.isEmpty(rq) || !time.Now().Before(end) {
 			return up, err
 		}
 		select {
@@ -74,7 +77,7 @@
 func (fo *Follower) update(boot string, rq FeedRequest) (feedUpdate, time.Duration, error) {
 	now := time.Now()
 	st, age, known := fo.Directory.feedState(now)
-	st.held = fo.quarantine().Generation()
+	st.held, st.standbys = fo.quarantine().Generation(), fo.known.joined(now)
 	up := feedUpdate{update: update{boot: boot, since: unknownGeneration, state: st}}
 	held := rq.Held
 	if rq.Boot != boot {
@@ -83,8 +86,8 @@
 	up.quarantine = fo.quarantine().Since(held, now)
 	switch {
 	case fo.direct() && known && age <= maxFeedAge:
-	case len(up.quarantine) > 0:
-		up.stale = true
+	case len(up.quarantine) > 0, fo.otherHolder() != "":
+		up.stale, up.holder = true, fo.otherHolder()
 		return up, 0, nil
 	case !fo.direct() || !known:
 		return up, 0, ErrNotFeeder
@@ -93,6 +96,10 @@
 	}
 	up.configuration = st.configuration != nil && st.configuration.Version > rq.Version
 	up.holds = st.holds.Version() != rq.Holds
+	up.standbys = hashStandbys(st.standbys) != rq.Standbys
+	if rq.Probe {
+		return feedUpdate{update: update{boot: boot, state: st}}, 0, nil
+	}
 	up.endpoints = rq.Boot != boot || rq.Generation != st.generation
 	if up.endpoints && rq.Boot == boot && rq.Differences && fo.Directory.coversChanges(rq.Generation) {
 		up.since = rq.Generation
@@ -107,7 +114,7 @@
 		Boot: up.boot, Generation: up.state.generation, Held: up.state.held, Quarantine: up.quarantine, Stale: up.stale,
 	}
 	if up.stale {
-		return FeedResponse{Boot: re.Boot, Held: re.Held, Quarantine: re.Quarantine, Stale: true}, false
+		return FeedResponse{Boot: re.Boot, Held: re.Held, Holder: up.holder, Quarantine: re.Quarantine, Stale: true}, false
 	}
 	if up.configuration {
 		re.Configuration = up.state.configuration
@@ -115,6 +122,9 @@
 	if up.holds {
 		re.Holds = up.state.holds.WithVersion(up.state.holds.Version())
 	}
+	if up.standbys {
+		re.Standbys = up.state.standbys
+	}
 	if !up.endpoints {
 		return re, true
 	}
@@ -129,3 +139,11 @@
 	now, _, _ := fo.Directory.feedState(time.Now())
 	return re, now.revision == up.state.revision
 }
+
+// otherHolder returns the address of the process that feeds, if it is known and not this one.
+func (fo *Follower) otherHolder() string {
+	if fo.HolderFunc == nil || fo.DirectFunc == nil || fo.DirectFunc() {
+		return ""
+	}
+	return fo.HolderFunc()
+}
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -66,6 +67,13 @@
 	// gets its state from Feeder over Pool, and follows only the key Own. Nil means true.
 	DirectFunc func() bool
 	Feeder     *lease.Resolver
+	// Address is that of a process that can feed others, or "". While the feeder is away it reads from
+	// the key-value service in the feeder's place.
+	Address string
+	// HolderFunc returns the address of the process that should feed, or "" if it is unknown. It is
+	// told to followers that ask this process by mistake. Nil means unknown.
+	HolderFunc func() string
+	Name       string // of this process among the followers
 	// Own is the key of the operators' requests to this instance, or "".
 	Own  string
 	Pool *peer.Pool
@@ -82,8 +90,13 @@
 
 	cache           updateCache
 	counts          feedCounters
-	holdsCheckedAt  time.Time // last read of the holds because the feeder sent older ones
-	lastFeeder      string    // address of the last known feeder
+	failedReads     int         // of the endpoints, one after the other
+	holdsCheckedAt  time.Time   // last read of the holds because the feeder sent older ones
+	known           standbyList // callers that can feed others
+	lastFeeder      string      // address of the last known feeder
+	standbys        string      // as last told by the feeder, see standbyList.joined
+	substituteAt    string      // address of the standby that feeds this process in the feeder's place, or ""
+	substitutes     atomic.Bool // this process feeds others in its feeder's place
 	emptyQuarantine quarantine.Table
 	unusable        unusableEntries
 }
@@ -108,23 +121,31 @@
 }
 
 // direct reports whether the process follows the key-value service itself.
-func (fo *Follower) direct() bool { return fo.DirectFunc == nil || fo.DirectFunc() }
+func (fo *Follower) direct() bool {
+	return fo.DirectFunc == nil || fo.DirectFunc() || fo.substitutes.Load()
+}
 
 // tasks returns the functions that keep the directory up to date, to run concurrently.
 func (fo *Follower) tasks(direct bool) []func(ctx context.Context) {
 	prefix := func(prefix string, wait, pause time.Duration, apply func([]keyvalue.Item, bool)) func(ctx context.Context) {
 		return func(ctx context.Context) { fo.Prefix(ctx, prefix, wait, pause, apply) }
 	}
-	if direct {
-		return []func(ctx context.Context){
+	var tasks []func(ctx context.Context)
+	switch {
+	case direct:
+		tasks = append(tasks,
 			prefix(fo.Source.OperatorPrefix, followWait, 0, fo.applyOperator),
 			prefix(fo.Source.EndpointPrefix, endpointsWait, followPause, fo.applyEndpoints),
 			prefix(quarantine.Key, followWait, 0, fo.applyQuarantine),
 			fo.followHolds,
-		}
+		)
+	default:
+		tasks = append(tasks, fo.followFeeder)
+	}
+	if fo.substitutes.Load() {
+		tasks = append(tasks, fo.probeFeeder)
 	}
-	tasks := []func(ctx context.Context){fo.followFeeder}
-	if fo.Own != "" {
+	if !direct && fo.Own != "" {
 		tasks = append(tasks, prefix(fo.Own, followWait, 0, fo.applyOperator))
 	}
 	return tasks
--- a/directory/followfeeder.go
+++ b/directory/followfeeder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,26 +13,26 @@
 	"wisteriacroft/quarantine"
 )
 
-// followFeeder gets updates from the feeder until ctx ends, and reads from the key-value
-// service itself while no feeder is reachable.
+// followFeeder gets updates from the feeder until ctx ends. While the feeder is away, it gets them from
+// a standby, and if there is none, reads from the key-value service itself.
 //
 // Calls to the key-value service are billed, and an endpoint's entry changes with each version
 // of its weights, so that it is cheaper if one process reads on behalf of all.
 func (fo *Follower) followFeeder(ctx context.Context) {
-	rq := FeedRequest{Differences: true}
+	rq := FeedRequest{Address: fo.Address, Differences: true}
 	var fb feedFallback
 	defer fb.end()
 	fo.readStale(ctx)
 	contact := time.Now() // last response of the feeder
+	var nextRead time.Time
 	for ctx.Err() == nil {
 		if co := fo.Directory.Configuration(); co != nil {
 			rq.Version = co.Version
 		}
 		rq.Holds = fo.Directory.Holds().Version()
+		rq.Standbys = hashStandbys(fo.standbys)
 		rq.Unsaved = fo.quarantine().Unsaved()
-		re, err := fo.callFeed(ctx, rq)
-		fo.recordContact(err)
-		fo.mergeQuarantine("feeder", re.Quarantine)
+		re, err := fo.callFeeders(ctx, rq)
 		if err == nil && !re.Stale {
 			fb.end()
 			rq = fo.followUp(rq, re, fo.applyResponse(ctx, rq, re))
@@ -42,25 +43,103 @@
 			rq.Boot, rq.Held = re.Boot, re.Held
 		}
 		rq.Generation = unknownGeneration // the endpoints may be replaced by a direct read
-		if time.Since(contact) < fo.Patience {
+		patience := fo.Patience
+		if err == nil {
+			patience += standbyGrace
+		}
+		if time.Since(contact) < patience {
 			sleep(ctx, feederRetryPause)
 			continue
 		}
-		fb.begin(ctx, fo)
-		ch, err := fo.scanEndpoints(ctx)
-		fo.recordContact(err)
-		fo.setUnavailable(fo.Source.EndpointPrefix, err)
-		if err == nil {
-			fo.applyEndpoints(ch.Items, true)
-			fo.readQuarantine(ctx)
+		if fo.substitute() {
+			return
+		}
+		if !time.Now().Before(nextRead) {
+			nextRead = time.Now().Add(fo.readDirectly(ctx, &fb))
+		}
+		sleep(ctx, lostFeederPause)
+	}
+}
+
+// readDirectly reads from the key-value service for a process without a feeder, and returns the pause
+// until the next read.
+//
+// While the service is away, the pause grows and the configuration isn't followed: a feeder will
+// notice its return, and calls of all entries would add to the service's load.
+func (fo *Follower) readDirectly(ctx context.Context, fb *feedFallback) time.Duration {
+	ch, err := fo.scanEndpoints(ctx)
+	fo.recordContact(err)
+	fo.setUnavailable(fo.Source.EndpointPrefix, err)
+	if err != nil {
+		fb.end()
+		fo.failedReads++
+		pause := min(scanPause<<min(fo.failedReads, maxReadDoublings), maxReadPause)
+		return pause/2 + rand.N(pause)
+	}
+	fo.failedReads = 0
+	fo.applyEndpoints(ch.Items, true)
+	fo.readQuarantine(ctx)
+	fb.begin(ctx, fo)
+	return scanPause
+}
+
+// callFeeders calls the process that fed this one last, or else the feeder or, if that doesn't feed, a
+// standby. A standby that doesn't feed either names the feeder, which saves a lookup.
+func (fo *Follower) callFeeders(ctx context.Context, rq FeedRequest) (FeedResponse, error) {
+	if fo.substituteAt != "" {
+		if re, err := fo.callOne(ctx, fo.substituteAt, rq); err == nil && !re.Stale {
+			return re, nil
+		}
+		fo.substituteAt = ""
+	}
+	known := fo.Feeder.Known()
+	re, err := fo.callOne(ctx, known, rq)
+	if err == nil && !re.Stale {
+		return re, nil
+	}
+	standby, errStandby := fo.callStandby(ctx, rq)
+	switch {
+	case errStandby == nil:
+		return standby, nil
+	case known != "":
+		return re, err
+	}
+	return fo.callOne(ctx, fo.feederAddress(ctx), rq)
+}
+
+// callStandby calls the standbys until one responds.
+func (fo *Follower) callStandby(ctx context.Context, rq FeedRequest) (FeedResponse, error) {
+	for _, address := range fo.standbyOrder() {
+		if ctx.Err() != nil || address == fo.Feeder.Known() {
+			continue
+		}
+		re, err := fo.callOne(ctx, address, rq)
+		if err != nil {
+			continue
 		}
-		sleep(ctx, scanPause)
+		if !re.Stale {
+			fo.substituteAt = address
+			fo.Log.WithField("address", address).Info("fed by a standby")
+		}
+		return re, nil
+	}
+	return FeedResponse{}, errNoFeeder
+}
+
+// callOne calls a process that may feed this one.
+func (fo *Follower) callOne(ctx context.Context, address string, rq FeedRequest) (FeedResponse, error) {
+	re, err := fo.callFeed(ctx, address, rq)
+	fo.recordContact(err)
+	fo.mergeQuarantine("feeder", re.Quarantine)
+	if re.Stale && re.Holder != "" {
+		fo.Feeder.Learn(re.Holder)
 	}
+	return re, err
 }
 
 // followUp returns the request after a response, which was applied with an error or none.
 func (fo *Follower) followUp(rq FeedRequest, re FeedResponse, err error) FeedRequest {
-	next := FeedRequest{Boot: re.Boot, Differences: true, Generation: re.Generation, Held: re.Held}
+	next := FeedRequest{Address: fo.Address, Boot: re.Boot, Differences: true, Generation: re.Generation, Held: re.Held}
 	if err == nil {
 		return next
 	}
@@ -86,6 +165,9 @@
 		fo.holdsCheckedAt = time.Now()
 		defer fo.checkHolds(ctx, re.Holds.Version())
 	}
+	if re.Standbys != "" {
+		fo.standbys = re.Standbys
+	}
 	if co := re.Configuration; co != nil && fo.Directory.SetConfiguration(co) {
 		fo.Log.WithFields(logrus.Fields{"from": "feeder", "routes": len(co.Routes), "taken": true, "version": co.Version}).Info("configuration")
 	}
@@ -155,14 +237,27 @@
 	}
 }
 
-// feederRetryPause is the pause before the next call to a feeder after a failed one.
-const feederRetryPause = 100 * time.Millisecond
+const (
+	// feederRetryPause is the pause before the next call to a feeder after a failed one, and
+	// lostFeederPause the same once the process reads from the key-value service itself.
+	feederRetryPause = 100 * time.Millisecond
+	lostFeederPause  = 250 * time.Millisecond
+)
 
-// scanPause is the pause between scans of all endpoints while no feeder is reachable.
-const scanPause = 500 * time.Millisecond
+const (
+	// standbyGrace is how much longer a process without a feeder waits if a standby responds, which is
+	// about to feed. Together with Patience and a call it stays below the 2 s after which a leaving
+	// endpoint must get no new work.
+	standbyGrace = 300 * time.Millisecond
+	// scanPause is the pause between scans of all endpoints while no feeder is reachable.
+	scanPause = 500 * time.Millisecond
+	// maxReadPause bounds the pause after scans that failed, and maxReadDoublings how often it doubles.
+	maxReadPause     = 4 * time.Second
+	maxReadDoublings = 3
+)
 
-func (fo *Follower) callFeed(ctx context.Context, rq FeedRequest) (FeedResponse, error) {
-	address := fo.feederAddress(ctx)
+// callFeed calls a process that may feed this one, or returns errNoFeeder for no address.
+func (fo *Follower) callFeed(ctx context.Context, address string, rq FeedRequest) (FeedResponse, error) {
 	if address == "" {
 		return FeedResponse{}, errNoFeeder
 	}
--- a/lease/resolver.go
+++ b/lease/resolver.go
@@ -28,6 +28,8 @@
 	Name   string
 
 	address    string // empty if unknown
+	invalid    string // address that was invalidated last
+	invalidAt  time.Time
 	lookups    int
 	lookedUpAt time.Time
 	mu         sync.Mutex
@@ -67,7 +69,29 @@
 	re.mu.Lock()
 	defer re.mu.Unlock()
 	if re.address == address && address != "" {
-		re.address = ""
+		re.address, re.invalid, re.invalidAt = "", address, time.Now()
 		re.Log.WithFields(logrus.Fields{"address": address, "dependency": re.Name, "error": err}).Warn("dependency lost")
 	}
 }
+
+// Known returns the cached address, or "".
+func (re *Resolver) Known() string {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	return re.address
+}
+
+// learnPause is the time after an address was invalidated in which another process that names it is
+// not believed: it may not have noticed yet that the holder is gone.
+const learnPause = time.Second
+
+// Learn sets the holder's address as another process knows it, which saves a lookup.
+func (re *Resolver) Learn(address string) {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	if address == "" || address == re.address || address == re.invalid && time.Since(re.invalidAt) < learnPause {
+		return
+	}
+	re.address = address
+	re.Log.WithFields(logrus.Fields{"address": address, "lease": re.Name}).Info("was told the holder")
+}
--- a/lease/resolver_test.go
+++ b/lease/resolver_test.go
@@ -42,3 +42,25 @@
 		assert.Equal(t, stale, 2)
 	})
 }
+
+func TestResolverLearns(t *testing.T) {
+	// Guards against a lookup by every process after a change of holder, and against calls to a dead
+	// holder that another process still names.
+	synctest.Test(t, func(t *testing.T) {
+		re := &Resolver{Client: &keyvalue.Client{}, Log: logrus.NewEntry(logrus.New()), Name: "name"}
+		re.Log.Logger.SetLevel(logrus.PanicLevel)
+		re.Learn("")
+		assert.Equal(t, re.Known(), "")
+		re.Learn("old")
+		assert.Equal(t, re.Known(), "old")
+		re.Invalidate("old", context.DeadlineExceeded)
+		re.Learn("old")
+		assert.Equal(t, re.Known(), "", "it may have died just now")
+		re.Learn("new")
+		assert.Equal(t, re.Known(), "new")
+		re.Invalidate("new", context.DeadlineExceeded)
+		time.Sleep(learnPause)
+		re.Learn("new")
+		assert.Equal(t, re.Known(), "new", "it is back")
+	})
+}
--- a/lease/standby.go
+++ b/lease/standby.go
@@ -97,6 +97,9 @@
 // not all try to acquire it at once.
 const phaseDivisor = 10
 
+// OtherHolder returns the address of another process that holds the name, as last read, or "".
+func (ho *Holder) OtherHolder() string { return ho.other().Owner }
+
 // other returns the record of another holder, as last read, or the zero Record.
 func (ho *Holder) other() Record {
 	ho.mu.Lock()
