--- a/capacity/controlplane_test.go
+++ b/capacity/controlplane_test.go
@@ -361,6 +361,18 @@
 	}
 }
 
+// settledControlPlane runs a function in a bubble with a control plane that has started.
+func settledControlPlane(t *testing.T, engines int, fn func(cp *controlPlane)) {
+	bubble(t, func() {
+		cp := newControlPlane(t, engines)
+		defer cp.stop()
+		cp.startAll(t)
+		waitUntil(func() bool { return cp.allKnow(engines) })
+		time.Sleep(2 * time.Second)
+		fn(cp)
+	})
+}
+
 // stop ends all processes and waits for the last of their calls.
 func (cp *controlPlane) stop() {
 	for _, no := range cp.nodes() {
--- a/capacity/controlplanecounts_test.go
+++ b/capacity/controlplanecounts_test.go
@@ -22,12 +22,7 @@
 // countControlPlane plays a deployment and returns its counts.
 func countControlPlane(t *testing.T, engines int) count {
 	co := count{engines: engines}
-	bubble(t, func() {
-		cp := newControlPlane(t, engines)
-		defer cp.stop()
-		cp.startAll(t)
-		waitUntil(func() bool { return cp.allKnow(engines) })
-		time.Sleep(2 * time.Second)
+	settledControlPlane(t, engines, func(cp *controlPlane) {
 		scheduler := func(ph phase) traffic { return ph.shares[schedulerRole].traffic }
 		idle := cp.measure(nil, "idle", func() { time.Sleep(2 * time.Second) })
 		co.idle = float64(scheduler(idle).messages) / idle.duration.Seconds()
--- a/capacity/lostfeeder_test.go
+++ b/capacity/lostfeeder_test.go
@@ -27,12 +27,7 @@
 		}, 0.2},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			bubble(t, func() {
-				cp := newControlPlane(t, engines)
-				defer cp.stop()
-				cp.startAll(t)
-				waitUntil(func() bool { return cp.allKnow(engines) })
-				time.Sleep(2 * time.Second)
+			settledControlPlane(t, engines, func(cp *controlPlane) {
 				ph := cp.measure(nil, "lost", func() {
 					tc.lose(cp.atWork())
 					time.Sleep(300 * time.Millisecond)
@@ -58,12 +53,7 @@
 // its load: each entry tries ever less often.
 func TestEntriesInOutage(t *testing.T) {
 	const engines = 60
-	bubble(t, func() {
-		cp := newControlPlane(t, engines)
-		defer cp.stop()
-		cp.startAll(t)
-		waitUntil(func() bool { return cp.allKnow(engines) })
-		time.Sleep(2 * time.Second)
+	settledControlPlane(t, engines, func(cp *controlPlane) {
 		ph := cp.measure(nil, "outage", func() {
 			cp.me.SetFaults(keyvalue.Faults{Delay: 4 * time.Millisecond, Outage: true})
 			time.Sleep(8 * time.Second)
@@ -77,3 +67,21 @@
 		assert.Assert(t, each <= 8, "%.2f", each)
 	})
 }
+
+// Guards against reads of all endpoints by every entry at the start of a whole deployment: together they
+// fill the link of the key-value service, and delay the reads by which the scheduler itself starts.
+func TestEntriesAtStart(t *testing.T) {
+	const engines = 60
+	bubble(t, func() {
+		cp := newControlPlane(t, engines)
+		defer cp.stop()
+		ph := cp.measure(nil, "start", func() {
+			cp.startAll(t)
+			waitUntil(func() bool { return cp.allKnow(engines) })
+		})
+		calls := ph.shares[entryRole].calls
+		t.Logf("%+v by %d entries", calls, len(cp.entries))
+		// Each looks for the holder of the scheduler's lease, which is not held yet at the first look.
+		assert.Assert(t, calls.Leases <= int64(2*len(cp.entries)) && calls.Reads+calls.Watches+calls.Writes == 0)
+	})
+}
--- a/cmd/platformhost.go
+++ b/cmd/platformhost.go
@@ -125,6 +125,7 @@
 		"encoded": func(fc directory.FeedCounts) int64 { return fc.Encoded },
 		"gaps":    func(fc directory.FeedCounts) int64 { return fc.Gaps },
 		"partial": func(fc directory.FeedCounts) int64 { return fc.Partial },
+		"reads":   func(fc directory.FeedCounts) int64 { return fc.Reads },
 		"whole":   func(fc directory.FeedCounts) int64 { return fc.Whole },
 	} {
 		ho.metrics.NewGauge("wisteriacroft_feed_"+name, func() float64 { return float64(count(fo.FeedCounts())) })
--- a/cmd/platformschedulercmd.go
+++ b/cmd/platformschedulercmd.go
@@ -73,6 +73,13 @@
 	fo := ho.follower(sc.IsLeader)
 	fo.Address, fo.HolderFunc, fo.Patience = ho.settings.PeerAddress, sc.Holder.OtherHolder, standbyPatience
 	fo.Own = platform.RetireKey(ho.settings.Instance)
+	ho.metrics.NewGauge("wisteriacroft_feed_substitute", func() float64 {
+		if fo.Substitutes() {
+			return 1
+		}
+		return 0
+	})
+	ho.metrics.NewGauge("wisteriacroft_exchange_lateness_seconds", func() float64 { return sc.ExchangeLateness().Seconds() })
 	directory.RegisterFeed(&ps, fo, uuid.NewString())
 	fo.OperatorFunc = func(it keyvalue.Item) {
 		if it.Key == fo.Own {
--- a/directory/feedcounts.go
+++ b/directory/feedcounts.go
@@ -7,11 +7,12 @@
 	Encoded int64 // responses encoded, for any number of followers
 	Gaps    int64 // differences received that did not follow the known endpoints
 	Partial int64 // responses with differences sent
+	Reads   int64 // of all endpoints from the key-value service for want of a feeder
 	Whole   int64 // responses with all endpoints sent
 }
 
 // feedCounters are the counters of a follower. The zero value is ready to use.
-type feedCounters struct{ encoded, gaps, partial, whole atomic.Int64 }
+type feedCounters struct{ encoded, gaps, partial, reads, whole atomic.Int64 }
 
 // countResponse counts a response that was encoded for one follower.
 func (fc *feedCounters) countResponse(re FeedResponse) {
@@ -38,5 +39,7 @@
 // FeedCounts returns the counts so far.
 func (fo *Follower) FeedCounts() FeedCounts {
 	fc := &fo.counts
-	return FeedCounts{Encoded: fc.encoded.Load(), Gaps: fc.gaps.Load(), Partial: fc.partial.Load(), Whole: fc.whole.Load()}
+	return FeedCounts{
+		Encoded: fc.encoded.Load(), Gaps: fc.gaps.Load(), Partial: fc.partial.Load(), Reads: fc.reads.Load(), Whole: fc.whole.Load(),
+	}
 }
--- a/directory/followfeeder.go
+++ b/directory/followfeeder.go
@@ -22,8 +22,8 @@
 	rq := FeedRequest{Address: fo.Address, Differences: true}
 	var fb feedFallback
 	defer fb.end()
-	fo.readStale(ctx)
-	contact := time.Now() // last response of the feeder
+	contact := time.Now()                                                // last response of the feeder
+	staleReadAt := contact.Add(staleReadDelay + rand.N(staleReadSpread)) // zero once done
 	var nextRead time.Time
 	for ctx.Err() == nil {
 		if co := fo.Directory.Configuration(); co != nil {
@@ -43,6 +43,10 @@
 			rq.Boot, rq.Held = re.Boot, re.Held
 		}
 		rq.Generation = unknownGeneration // the endpoints may be replaced by a direct read
+		if !staleReadAt.IsZero() && !time.Now().Before(staleReadAt) {
+			staleReadAt = time.Time{}
+			fo.readStale(ctx)
+		}
 		patience := fo.Patience
 		if err == nil {
 			patience += standbyGrace
@@ -67,6 +71,7 @@
 // While the service is away, the pause grows and the configuration isn't followed: a feeder will
 // notice its return, and calls of all entries would add to the service's load.
 func (fo *Follower) readDirectly(ctx context.Context, fb *feedFallback) time.Duration {
+	fo.counts.reads.Add(1)
 	ch, err := fo.scanEndpoints(ctx)
 	fo.recordContact(err)
 	fo.setUnavailable(fo.Source.EndpointPrefix, err)
@@ -216,23 +221,29 @@
 // configuration, the endpoints and the quarantined requests. They may be seconds old, until
 // the feeder sends its state.
 //
-// If all processes start at once, the feeder starts slightly later. Without this read, entries
-// would reject requests of live callers meanwhile.
+// Without this read, entries that start before the feeder would reject requests of live callers
+// meanwhile. If all processes start at once, the reads of all entries would fill the service's link,
+// and delay those by which the feeder itself starts: so each entry waits for the feeder first.
 func (fo *Follower) readStale(ctx context.Context) {
 	if fo.Patience == 0 || fo.Directory.Ready() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, scanTimeout)
 	defer cancel()
-	for prefix, apply := range map[string]func([]keyvalue.Item, bool){
-		fo.Source.ConfigurationKey: fo.applyOperator, fo.Source.EndpointPrefix: fo.applyEndpoints,
-		quarantine.Key: fo.applyQuarantine,
+	// The quarantine comes first: with the others the process begins to serve.
+	for _, rd := range []struct {
+		apply  func([]keyvalue.Item, bool)
+		prefix string
+	}{
+		{apply: fo.applyQuarantine, prefix: quarantine.Key},
+		{apply: fo.applyOperator, prefix: fo.Source.ConfigurationKey},
+		{apply: fo.applyEndpoints, prefix: fo.Source.EndpointPrefix},
 	} {
-		ch, err := fo.Client.ScanStale(ctx, prefix)
+		ch, err := fo.Client.ScanStale(ctx, rd.prefix)
 		fo.recordContact(err)
-		fo.setUnavailable(prefix, err)
+		fo.setUnavailable(rd.prefix, err)
 		if err == nil {
-			apply(ch.Items, true)
+			rd.apply(ch.Items, true)
 		}
 	}
 }
@@ -245,6 +256,10 @@
 )
 
 const (
+	// staleReadDelay is how long a process that starts waits for a feeder before readStale, and
+	// staleReadSpread the time over which the reads of many such processes are spread.
+	staleReadDelay  = 200 * time.Millisecond
+	staleReadSpread = 600 * time.Millisecond
 	// standbyGrace is how much longer a process without a feeder waits if a standby responds, which is
 	// about to feed. Together with Patience and a call it stays below the 2 s after which a leaving
 	// endpoint must get no new work.
--- a/directory/quarantine_test.go
+++ b/directory/quarantine_test.go
@@ -83,6 +83,8 @@
 		for _, endpoint := range []string{"a", "b", "c"} {
 			before.RecordCrash("request", endpoint, time.Now())
 		}
+		put(t, &me, "op/config", `{"Version":3}`)
+		put(t, &me, "servers/a", `{"Service":"desk"}`)
 		time.Sleep(time.Second)
 		for _, direct := range []bool{false, true} {
 			fo := &Follower{
@@ -91,7 +93,12 @@
 				Quarantine: &quarantine.Table{}, Patience: time.Second, Source: source(),
 			}
 			go fo.Run(ctx)
-			time.Sleep(50 * time.Millisecond)
+			begun := time.Now()
+			for !fo.Directory.Ready() && time.Since(begun) < time.Minute {
+				time.Sleep(time.Millisecond)
+				synctest.Wait()
+			}
+			assert.Assert(t, time.Since(begun) < fo.Patience)
 			assert.Assert(t, fo.Quarantine.Check("request", time.Now()).Held(), "direct: %v", direct)
 		}
 		cancel()
--- a/directory/standbys.go
+++ b/directory/standbys.go
@@ -88,6 +88,9 @@
 	return true
 }
 
+// Substitutes reports whether the process feeds others in its feeder's place.
+func (fo *Follower) Substitutes() bool { return fo.substitutes.Load() }
+
 // probeFeeder ends the substitution as soon as the feeder responds, or this process has become it.
 func (fo *Follower) probeFeeder(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/step/exchange.go
+++ b/step/exchange.go
@@ -207,6 +207,10 @@
 	}
 }
 
+// ExchangeLateness returns by how much attendants' responses are later than expected, on average. It
+// grows if the process is overloaded.
+func (sc *Scheduler) ExchangeLateness() time.Duration { return sc.pressure.Lateness() }
+
 // handleResponse updates the table with an attendant's response, and returns the pause until the next
 // exchange.
 func (sc *Scheduler) handleResponse(
