--- a/directory/differences.go
+++ b/directory/differences.go
@@ -16,6 +16,14 @@
 	standbys      string // see standbyList.joined
 }
 
+// differences are changes of endpoints up to a generation.
+type differences struct {
+	changed    []Endpoint // without the effect of holds
+	generation uint64
+	removed    []string // IDs
+	total      int      // endpoints after the changes
+}
+
 // Changed returns a channel that is closed at the next change of the endpoints, the configuration or
 // the holds. Versions of weights don't count.
 func (di *Directory) Changed() <-chan struct{} { return di.changed.Changed() }
@@ -53,14 +61,6 @@
 	return df, ok
 }
 
-// differences are changes of endpoints up to a generation.
-type differences struct {
-	changed    []Endpoint // without the effect of holds
-	generation uint64
-	removed    []string // IDs
-	total      int      // endpoints after the changes
-}
-
 // applyDifferences applies a feeder's differences. It returns false, and changes nothing, if the
 // result would have another number of endpoints than the feeder: the two have diverged.
 func (di *Directory) applyDifferences(df differences) bool {
--- a/directory/feeder.go
+++ b/directory/feeder.go
@@ -74,6 +74,9 @@
 }
 
 // update returns what the caller needs now, and for how long the endpoints stay fresh enough to be sent.
+//
+// A process that has just become the feeder, or a substitute, feeds only once it has read the
+// configuration too: its followers take theirs for the newest one from then on.
 func (fo *Follower) update(boot string, rq FeedRequest) (feedUpdate, time.Duration, error) {
 	now := time.Now()
 	st, age, known := fo.Directory.feedState(now)
@@ -85,11 +88,11 @@
 	}
 	up.quarantine = fo.quarantine().Since(held, now)
 	switch {
-	case fo.direct() && known && age <= maxFeedAge:
+	case fo.direct() && known && age <= maxFeedAge && !fo.awaitsOperator.Load():
 	case len(up.quarantine) > 0, fo.otherHolder() != "":
 		up.stale, up.holder = true, fo.otherHolder()
 		return up, 0, nil
-	case !fo.direct() || !known:
+	case !fo.direct() || !known || age <= maxFeedAge:
 		return up, 0, ErrNotFeeder
 	default:
 		return up, 0, errors.Wrapf(ErrOldEndpoints, "%s", age)
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -88,6 +88,7 @@
 	// Quarantine tracks requests that crash their endpoints. Nil tracks none.
 	Quarantine *quarantine.Table
 
+	awaitsOperator  atomic.Bool // the operators' keys have yet to be read since the process follows them itself
 	cache           updateCache
 	counts          feedCounters
 	failedReads     int         // of the endpoints, one after the other
@@ -106,6 +107,7 @@
 	for ctx.Err() == nil {
 		direct := fo.direct()
 		sub, cancel := context.WithCancel(ctx)
+		fo.awaitsOperator.Store(direct)
 		var wg sync.WaitGroup
 		for _, fn := range fo.tasks(direct) {
 			wg.Go(func() { fn(sub) })
@@ -196,6 +198,7 @@
 			fo.Directory.ConfirmEndpoints(time.Now())
 		case fo.Source.OperatorPrefix, fo.Source.ConfigurationKey:
 			fo.Directory.ConfirmConfiguration(time.Now())
+			fo.awaitsOperator.Store(false)
 		}
 		if scan || len(ch.Items) > 0 {
 			sleep(ctx, pause)
--- a/directory/followfeeder.go
+++ b/directory/followfeeder.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
@@ -13,6 +14,32 @@
 	"wisteriacroft/quarantine"
 )
 
+// Settings of a process that follows a feeder.
+const (
+	// feederRetryPause is the pause before the next call to a feeder after a failed one, and
+	// lostFeederPause the same once the process reads from the key-value service itself.
+	feederRetryPause = 100 * time.Millisecond
+	lostFeederPause  = 250 * time.Millisecond
+	// standbyGrace is how much longer a process without a feeder waits if a standby responds, which is
+	// about to feed. Together with Patience and a call it stays below the 2 s after which a leaving
+	// endpoint must get no new work.
+	standbyGrace = 300 * time.Millisecond
+	// staleReadDelay is how long a process that starts waits for a feeder before readStale, and
+	// staleReadSpread the time over which the reads of many such processes are spread.
+	staleReadDelay  = 200 * time.Millisecond
+	staleReadSpread = 600 * time.Millisecond
+	// scanPause is the pause between scans of all endpoints while no feeder is reachable, and
+	// scanTimeout bounds one. Together they stay below contactTimeout.
+	scanPause   = 500 * time.Millisecond
+	scanTimeout = 800 * time.Millisecond
+	// maxReadPause bounds the pause after scans that failed, and maxReadDoublings how often it doubles.
+	maxReadPause     = 4 * time.Second
+	maxReadDoublings = 3
+	// holdsCheckPause is the minimum interval between reads of the holds from the key-value service
+	// after the feeder sent an older version: it may lag behind for a while.
+	holdsCheckPause = 2 * time.Second
+)
+
 // followFeeder gets updates from the feeder until ctx ends. While the feeder is away, it gets them from
 // a standby, and if there is none, reads from the key-value service itself.
 //
@@ -22,8 +49,8 @@
 	rq := FeedRequest{Address: fo.Address, Differences: true}
 	var fb feedFallback
 	defer fb.end()
-	contact := time.Now()                                                // last response of the feeder
-	staleReadAt := contact.Add(staleReadDelay + rand.N(staleReadSpread)) // zero once done
+	contact := time.Now()                                         // last response of the feeder
+	staleReadAt := contact.Add(staleReadDelay + fo.staleOffset()) // zero once done
 	var nextRead time.Time
 	for ctx.Err() == nil {
 		if co := fo.Directory.Configuration(); co != nil {
@@ -65,6 +92,11 @@
 	}
 }
 
+// staleOffset returns the time within staleReadSpread at which this process makes its stale read.
+func (fo *Follower) staleOffset() time.Duration {
+	return time.Duration(xxhash.Sum64String(fo.Name) % uint64(staleReadSpread))
+}
+
 // readDirectly reads from the key-value service for a process without a feeder, and returns the pause
 // until the next read.
 //
@@ -193,10 +225,6 @@
 	return nil
 }
 
-// holdsCheckPause is the minimum interval between reads of the holds from the key-value service
-// after the feeder sent an older version: it may lag behind for a while.
-const holdsCheckPause = 2 * time.Second
-
 // A feedFallback follows the configuration and the holds while no feeder is reachable.
 type feedFallback struct{ cancel context.CancelFunc }
 
@@ -248,29 +276,6 @@
 	}
 }
 
-const (
-	// feederRetryPause is the pause before the next call to a feeder after a failed one, and
-	// lostFeederPause the same once the process reads from the key-value service itself.
-	feederRetryPause = 100 * time.Millisecond
-	lostFeederPause  = 250 * time.Millisecond
-)
-
-const (
-	// staleReadDelay is how long a process that starts waits for a feeder before readStale, and
-	// staleReadSpread the time over which the reads of many such processes are spread.
-	staleReadDelay  = 200 * time.Millisecond
-	staleReadSpread = 600 * time.Millisecond
-	// standbyGrace is how much longer a process without a feeder waits if a standby responds, which is
-	// about to feed. Together with Patience and a call it stays below the 2 s after which a leaving
-	// endpoint must get no new work.
-	standbyGrace = 300 * time.Millisecond
-	// scanPause is the pause between scans of all endpoints while no feeder is reachable.
-	scanPause = 500 * time.Millisecond
-	// maxReadPause bounds the pause after scans that failed, and maxReadDoublings how often it doubles.
-	maxReadPause     = 4 * time.Second
-	maxReadDoublings = 3
-)
-
 // callFeed calls a process that may feed this one, or returns errNoFeeder for no address.
 func (fo *Follower) callFeed(ctx context.Context, address string, rq FeedRequest) (FeedResponse, error) {
 	if address == "" {
@@ -297,10 +302,6 @@
 	return fo.lastFeeder
 }
 
-// scanTimeout bounds a scan of all endpoints while no feeder is reachable. Together with
-// scanPause it stays below contactTimeout.
-const scanTimeout = 800 * time.Millisecond
-
 func (fo *Follower) scanEndpoints(ctx context.Context) (keyvalue.Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, scanTimeout)
 	defer cancel()
