--- a/directory/follower.go
+++ b/directory/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -158,66 +157,6 @@
 	fo.Prefix(ctx, hold.Key, followWait, 0, func(its []keyvalue.Item, full bool) { fo.applyHolds(ctx, its, full) })
 }
 
-// Prefix scans a prefix and follows its changes until ctx ends. Apply is called with a complete
-// listing (true) first and after the history was lost or the revision went back, and with
-// changes (false) otherwise.
-func (fo *Follower) Prefix(
-	ctx context.Context, prefix string, wait, pause time.Duration, apply func([]keyvalue.Item, bool),
-) {
-	var after int64
-	scan := true
-	for ctx.Err() == nil {
-		ch, err := fo.next(ctx, prefix, after, scan, wait)
-		if ctx.Err() != nil {
-			return
-		}
-		fo.recordContact(err)
-		fo.setUnavailable(prefix, err)
-		if errors.Is(err, keyvalue.ErrHistoryGone) {
-			fo.Log.WithFields(logrus.Fields{"prefix": prefix, "after": after}).Info("history lost, scanning again")
-			scan = true
-			continue
-		}
-		if err != nil {
-			sleep(ctx, retryPause)
-			continue
-		}
-		if back := ch.Version < after; back && !scan {
-			// After a restore from an older backup, no changes would be reported until the
-			// revision is as high again.
-			fo.Log.WithFields(logrus.Fields{"prefix": prefix, "after": after, revisionField: ch.Version}).Warn("revision decreased, scanning again")
-			scan = true
-			sleep(ctx, retryPause)
-			continue
-		}
-		if scan || len(ch.Items) > 0 {
-			apply(ch.Items, scan)
-		}
-		switch prefix {
-		case fo.Source.EndpointPrefix:
-			fo.Directory.ConfirmEndpoints(time.Now())
-		case fo.Source.OperatorPrefix, fo.Source.ConfigurationKey:
-			fo.Directory.ConfirmConfiguration(time.Now())
-			fo.awaitsOperator.Store(false)
-		}
-		if scan || len(ch.Items) > 0 {
-			sleep(ctx, pause)
-		}
-		after, scan = ch.Version, false
-	}
-}
-
-func (fo *Follower) next(
-	ctx context.Context, prefix string, after int64, scan bool, wait time.Duration,
-) (keyvalue.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+followSlack)
-	defer cancel()
-	if scan {
-		return fo.Client.Scan(ctx, prefix)
-	}
-	return fo.Client.Follow(ctx, prefix, after, wait)
-}
-
 // recordContact records a contact if the call got a response, even a rejection.
 func (fo *Follower) recordContact(err error) {
 	if err == nil || errors.IsAny(err, keyvalue.ErrHistoryGone, ErrNotFeeder, ErrOldEndpoints) {
@@ -249,99 +188,3 @@
 	case <-time.After(wait):
 	}
 }
-
-func (fo *Follower) applyOperator(its []keyvalue.Item, _ bool) {
-	for _, it := range its {
-		switch {
-		case it.Value == nil:
-		case it.Key == fo.Source.ConfigurationKey:
-			fo.applyConfiguration(it)
-		case strings.HasPrefix(it.Key, fo.Source.VersionPrefix):
-			fo.applyVersion(it)
-		case fo.OperatorFunc != nil:
-			fo.OperatorFunc(it)
-		}
-	}
-}
-
-func (fo *Follower) applyConfiguration(it keyvalue.Item) {
-	co, err := fo.Source.DecodeConfigurationFunc(it.Value)
-	en := fo.Log.WithFields(logrus.Fields{"key": it.Key, revisionField: it.Version})
-	if err != nil {
-		en.WithError(err).Error("cannot decode configuration, keeping the current one")
-		return
-	}
-	taken := fo.Directory.SetConfiguration(co)
-	en.WithFields(logrus.Fields{"version": co.Version, "routes": len(co.Routes), "taken": taken}).Info("configuration")
-	if taken && len(co.Unread) > 0 {
-		en.WithFields(logrus.Fields{
-			"count": len(co.Unread), "unread": co.Unread[:min(len(co.Unread), maxUnreadLogged)], "version": co.Version,
-		}).Error("cannot decode parts of the configuration, treating them as absent")
-	}
-}
-
-func (fo *Follower) applyVersion(it keyvalue.Item) {
-	model, version, err := fo.Source.DecodeVersionFunc(it.Value)
-	en := fo.Log.WithFields(logrus.Fields{"key": it.Key, revisionField: it.Version})
-	if err != nil {
-		en.WithError(err).Error("cannot decode announced version")
-		return
-	}
-	if fo.Directory.SetVersion(model, version) {
-		en.WithFields(logrus.Fields{"model": model, "version": version}).Info("version named")
-	}
-}
-
-// applyEndpoints applies changes in their order, so that the last one of an endpoint wins. Full
-// means that the items are a complete listing.
-func (fo *Follower) applyEndpoints(its []keyvalue.Item, full bool) {
-	var ens []Endpoint
-	now := time.Now()
-	if full {
-		fo.unusable.retain(its)
-	}
-	for _, it := range its {
-		id := strings.TrimPrefix(it.Key, fo.Source.EndpointPrefix)
-		if it.Value == nil {
-			fo.unusable.remove(it.Key)
-			fo.Directory.RemoveEndpoint(id, now)
-			fo.Log.WithFields(logrus.Fields{"endpoint": id, revisionField: it.Version}).Info("endpoint's entry removed")
-			continue
-		}
-		en, err := fo.decodeEndpoint(id, it)
-		if fo.isUnusable(it, err) {
-			fo.Directory.RemoveEndpoint(id, now)
-			continue
-		}
-		fo.logEndpoint(en)
-		if old := fo.Directory.SetEndpoint(en); old != "" {
-			fo.Log.WithFields(logrus.Fields{"by": en.ID, "endpoint": old, revisionField: it.Version}).Info("endpoint was replaced")
-		}
-		ens = append(ens, en)
-	}
-	if full {
-		fo.Directory.SetEndpoints(ens, now)
-	}
-}
-
-// decodeEndpoint returns the endpoint that an entry describes.
-func (fo *Follower) decodeEndpoint(id string, it keyvalue.Item) (Endpoint, error) {
-	if len(it.Value) > maxEntry {
-		return Endpoint{}, errors.Wrapf(errLargeEntry, "%d bytes", len(it.Value))
-	}
-	en, err := fo.Source.DecodeEndpointFunc(id, it.Value)
-	en.Revision = it.Version
-	return en, err
-}
-
-// logEndpoint logs an endpoint if it is new or its Leaving has changed.
-func (fo *Follower) logEndpoint(en Endpoint) {
-	old, known := fo.Directory.entry(en.ID)
-	if known && old.Leaving == en.Leaving {
-		return
-	}
-	fo.Log.WithFields(logrus.Fields{
-		"address": en.Address, "endpoint": en.ID, "leaving": en.Leaving,
-		revisionField: en.Revision, "service": en.Service,
-	}).Info("endpoint")
-}
--- a/directory/followfeeder.go
+++ b/directory/followfeeder.go
@@ -2,19 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
-
-	"wisteriacroft/keyvalue"
-	"wisteriacroft/peer"
-	"wisteriacroft/quarantine"
 )
 
-// Settings of a process that follows a feeder.
+// Pauses after failed calls to the feeder.
 const (
 	// feederRetryPause is the pause before the next call to a feeder after a failed one, and
 	// lostFeederPause the same once the process reads from the key-value service itself.
@@ -24,22 +18,12 @@
 	// about to feed. Together with Patience and a call it stays below the 2 s after which a leaving
 	// endpoint must get no new work.
 	standbyGrace = 300 * time.Millisecond
-	// staleReadDelay is how long a process that starts waits for a feeder before readStale, and
-	// staleReadSpread the time over which the reads of many such processes are spread.
-	staleReadDelay  = 200 * time.Millisecond
-	staleReadSpread = 600 * time.Millisecond
-	// scanPause is the pause between scans of all endpoints while no feeder is reachable, and
-	// scanTimeout bounds one. Together they stay below contactTimeout.
-	scanPause   = 500 * time.Millisecond
-	scanTimeout = 800 * time.Millisecond
-	// maxReadPause bounds the pause after scans that failed, and maxReadDoublings how often it doubles.
-	maxReadPause     = 4 * time.Second
-	maxReadDoublings = 3
-	// holdsCheckPause is the minimum interval between reads of the holds from the key-value service
-	// after the feeder sent an older version: it may lag behind for a while.
-	holdsCheckPause = 2 * time.Second
 )
 
+// holdsCheckPause is the minimum interval between reads of the holds from the key-value service
+// after the feeder sent an older version: it may lag behind for a while.
+const holdsCheckPause = 2 * time.Second
+
 // followFeeder gets updates from the feeder until ctx ends. While the feeder is away, it gets them from
 // a standby, and if there is none, reads from the key-value service itself.
 //
@@ -53,12 +37,7 @@
 	staleReadAt := contact.Add(staleReadDelay + fo.staleOffset()) // zero once done
 	var nextRead time.Time
 	for ctx.Err() == nil {
-		if co := fo.Directory.Configuration(); co != nil {
-			rq.Version = co.Version
-		}
-		rq.Holds = fo.Directory.Holds().Version()
-		rq.Standbys = hashStandbys(fo.standbys)
-		rq.Unsaved = fo.quarantine().Unsaved()
+		fo.describeState(&rq)
 		re, err := fo.callFeeders(ctx, rq)
 		if err == nil && !re.Stale {
 			fb.end()
@@ -92,86 +71,14 @@
 	}
 }
 
-// staleOffset returns the time within staleReadSpread at which this process makes its stale read.
-func (fo *Follower) staleOffset() time.Duration {
-	return time.Duration(xxhash.Sum64String(fo.Name) % uint64(staleReadSpread))
-}
-
-// readDirectly reads from the key-value service for a process without a feeder, and returns the pause
-// until the next read.
-//
-// While the service is away, the pause grows and the configuration isn't followed: a feeder will
-// notice its return, and calls of all entries would add to the service's load.
-func (fo *Follower) readDirectly(ctx context.Context, fb *feedFallback) time.Duration {
-	fo.counts.reads.Add(1)
-	ch, err := fo.scanEndpoints(ctx)
-	fo.recordContact(err)
-	fo.setUnavailable(fo.Source.EndpointPrefix, err)
-	if err != nil {
-		fb.end()
-		fo.failedReads++
-		pause := min(scanPause<<min(fo.failedReads, maxReadDoublings), maxReadPause)
-		return pause/2 + rand.N(pause)
-	}
-	fo.failedReads = 0
-	fo.applyEndpoints(ch.Items, true)
-	fo.readQuarantine(ctx)
-	fb.begin(ctx, fo)
-	return scanPause
-}
-
-// callFeeders calls the process that fed this one last, or else the feeder or, if that doesn't feed, a
-// standby. A standby that doesn't feed either names the feeder, which saves a lookup.
-func (fo *Follower) callFeeders(ctx context.Context, rq FeedRequest) (FeedResponse, error) {
-	if fo.substituteAt != "" {
-		if re, err := fo.callOne(ctx, fo.substituteAt, rq); err == nil && !re.Stale {
-			return re, nil
-		}
-		fo.substituteAt = ""
-	}
-	known := fo.Feeder.Known()
-	re, err := fo.callOne(ctx, known, rq)
-	if err == nil && !re.Stale {
-		return re, nil
-	}
-	standby, errStandby := fo.callStandby(ctx, rq)
-	switch {
-	case errStandby == nil:
-		return standby, nil
-	case known != "":
-		return re, err
-	}
-	return fo.callOne(ctx, fo.feederAddress(ctx), rq)
-}
-
-// callStandby calls the standbys until one responds.
-func (fo *Follower) callStandby(ctx context.Context, rq FeedRequest) (FeedResponse, error) {
-	for _, address := range fo.standbyOrder() {
-		if ctx.Err() != nil || address == fo.Feeder.Known() {
-			continue
-		}
-		re, err := fo.callOne(ctx, address, rq)
-		if err != nil {
-			continue
-		}
-		if !re.Stale {
-			fo.substituteAt = address
-			fo.Log.WithField("address", address).Info("fed by a standby")
-		}
-		return re, nil
-	}
-	return FeedResponse{}, errNoFeeder
-}
-
-// callOne calls a process that may feed this one.
-func (fo *Follower) callOne(ctx context.Context, address string, rq FeedRequest) (FeedResponse, error) {
-	re, err := fo.callFeed(ctx, address, rq)
-	fo.recordContact(err)
-	fo.mergeQuarantine("feeder", re.Quarantine)
-	if re.Stale && re.Holder != "" {
-		fo.Feeder.Learn(re.Holder)
+// describeState sets what this process knows in a request, but for the endpoints and the quarantine.
+func (fo *Follower) describeState(rq *FeedRequest) {
+	if co := fo.Directory.Configuration(); co != nil {
+		rq.Version = co.Version
 	}
-	return re, err
+	rq.Holds = fo.Directory.Holds().Version()
+	rq.Standbys = hashStandbys(fo.standbys)
+	rq.Unsaved = fo.quarantine().Unsaved()
 }
 
 // followUp returns the request after a response, which was applied with an error or none.
@@ -224,86 +131,3 @@
 	}
 	return nil
 }
-
-// A feedFallback follows the configuration and the holds while no feeder is reachable.
-type feedFallback struct{ cancel context.CancelFunc }
-
-// begin starts following, with a scan first to get changes that the feeder had not sent yet.
-func (fb *feedFallback) begin(ctx context.Context, fo *Follower) {
-	if fb.cancel != nil {
-		return
-	}
-	ctx, fb.cancel = context.WithCancel(ctx)
-	go fo.Prefix(ctx, fo.Source.ConfigurationKey, followWait, 0, fo.applyOperator)
-	go fo.followHolds(ctx)
-}
-
-func (fb *feedFallback) end() {
-	if fb.cancel != nil {
-		fb.cancel()
-		fb.cancel = nil
-	}
-}
-
-// readStale initializes a process that waits for a feeder with a cheap stale read of the
-// configuration, the endpoints and the quarantined requests. They may be seconds old, until
-// the feeder sends its state.
-//
-// Without this read, entries that start before the feeder would reject requests of live callers
-// meanwhile. If all processes start at once, the reads of all entries would fill the service's link,
-// and delay those by which the feeder itself starts: so each entry waits for the feeder first.
-func (fo *Follower) readStale(ctx context.Context) {
-	if fo.Patience == 0 || fo.Directory.Ready() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, scanTimeout)
-	defer cancel()
-	// The quarantine comes first: with the others the process begins to serve.
-	for _, rd := range []struct {
-		apply  func([]keyvalue.Item, bool)
-		prefix string
-	}{
-		{apply: fo.applyQuarantine, prefix: quarantine.Key},
-		{apply: fo.applyOperator, prefix: fo.Source.ConfigurationKey},
-		{apply: fo.applyEndpoints, prefix: fo.Source.EndpointPrefix},
-	} {
-		ch, err := fo.Client.ScanStale(ctx, rd.prefix)
-		fo.recordContact(err)
-		fo.setUnavailable(rd.prefix, err)
-		if err == nil {
-			rd.apply(ch.Items, true)
-		}
-	}
-}
-
-// callFeed calls a process that may feed this one, or returns errNoFeeder for no address.
-func (fo *Follower) callFeed(ctx context.Context, address string, rq FeedRequest) (FeedResponse, error) {
-	if address == "" {
-		return FeedResponse{}, errNoFeeder
-	}
-	ctx, cancel := context.WithTimeout(ctx, feedTimeout)
-	defer cancel()
-	re, err := peer.Call[FeedRequest, FeedResponse](ctx, fo.Pool, address, feedMethod, rq)
-	if err != nil && ctx.Err() == nil && !errors.Is(err, ErrOldEndpoints) || errors.Is(err, context.DeadlineExceeded) {
-		fo.Feeder.Invalidate(address, err)
-	}
-	return re, err
-}
-
-// feederAddress returns the address of the current or the last known feeder, or "".
-//
-// During an outage of the key-value service, feeders lose their leases and none is known. The
-// last one still responds with ErrNotFeeder, which shows that this process is not cut off.
-// Otherwise all entries would reject all steps during an outage.
-func (fo *Follower) feederAddress(ctx context.Context) string {
-	if address := fo.Feeder.Address(ctx); address != "" {
-		fo.lastFeeder = address
-	}
-	return fo.lastFeeder
-}
-
-func (fo *Follower) scanEndpoints(ctx context.Context) (keyvalue.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, scanTimeout)
-	defer cancel()
-	return fo.Client.Scan(ctx, fo.Source.EndpointPrefix)
-}
--- a/step/scheduler.go
+++ b/step/scheduler.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"strconv"
 	"sync"
 	"time"
 
@@ -93,26 +91,6 @@
 	term             *term              // nil without the lease
 }
 
-// A term is a period in which a scheduler holds the lease without another holder in between.
-// If the lease expires in an outage and nobody else acquires it, the term continues under a
-// new epoch.
-type term struct {
-	newContext    func() (context.Context, context.CancelFunc) // returns a context that is canceled with the term
-	rewardCalls   map[*itemRow]context.CancelFunc              // reward calls in flight
-	cancel        context.CancelFunc
-	epoch         uint64
-	exchangeKicks map[string]chan struct{} // wake the exchange loops, by engine
-	polledAt      time.Time                // last response to the intake poll
-	recovery      recoverySignal
-	ready         bool // the state of earlier schedulers is loaded
-	table         *Table
-	writeKick     chan struct{} // wakes the writer
-
-	// configuration and endpoints are the ones that the table's engines were set from.
-	configuration *directory.Configuration
-	endpoints     []directory.Endpoint
-}
-
 // Register registers the scheduler's RPC methods.
 func (sc *Scheduler) Register(sv *peer.Server) {
 	registerPing(sv)
@@ -193,66 +171,6 @@
 	sc.tick(now)
 }
 
-// updateTerm begins, continues or ends a term according to the epoch of the lease, which is 0
-// without a lease.
-func (sc *Scheduler) updateTerm(ctx context.Context, epoch uint64) {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	if sc.term != nil && epoch != 0 && sc.Holder.Continues(sc.term.epoch) {
-		sc.Log.WithFields(logrus.Fields{"epoch": epoch, "former": sc.term.epoch}).Info("scheduler goes on")
-		sc.Metrics.GetOrCreateCounter(`wisteriacroft_scheduler_continuations_total`).Inc()
-		sc.term.renew(epoch)
-		return
-	}
-	if sc.term != nil && sc.term.epoch != epoch {
-		sc.Log.WithField("epoch", sc.term.epoch).Warn("no longer the scheduler")
-		sc.term.cancel()
-		sc.term = nil
-		sc.termEndedAt = time.Now()
-	}
-	if sc.term != nil || epoch == 0 {
-		return
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	te := &term{
-		newContext:  func() (context.Context, context.CancelFunc) { return context.WithCancel(ctx) },
-		rewardCalls: map[*itemRow]context.CancelFunc{}, cancel: cancel, epoch: epoch, exchangeKicks: map[string]chan struct{}{},
-		writeKick: make(chan struct{}, 1),
-	}
-	te.table = NewTable(epoch, func(event string, fields map[string]any) {
-		sc.Log.WithFields(fields).WithField("epoch", te.epoch).Info(event)
-	})
-	if sc.Quarantine != nil {
-		te.table.quarantine = sc.Quarantine
-	}
-	sc.term = te
-	sc.Log.WithField("epoch", epoch).Info("scheduler term started")
-	go sc.follow(ctx, te)
-	go sc.writeLoop(ctx, te)
-}
-
-// renew continues a term under a new epoch.
-//
-// In a long outage of the key-value service the lease expires, but nobody else can acquire it,
-// so the state of the term stays valid. A new term would delay results by loading all state
-// and awaiting all attendants first.
-func (te *term) renew(epoch uint64) {
-	te.epoch = epoch
-	te.table.SetEpoch(epoch)
-	notify(te.writeKick)
-}
-
-// resume handles a newly acquired lease or the recovery of the key-value service.
-func (sc *Scheduler) resume(ctx context.Context) {
-	sc.round(ctx, time.Now())
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	if sc.term != nil {
-		sc.term.recovery.notify()
-		notify(sc.term.writeKick)
-	}
-}
-
 // tick updates the table and makes the decisions of one tick.
 func (sc *Scheduler) tick(now time.Time) {
 	sc.mu.Lock()
@@ -292,66 +210,6 @@
 	return held && now.Sub(te.polledAt) < intakeWait+intakeSlack
 }
 
-// refresh updates the table from the directory.
-func (sc *Scheduler) refresh(te *term, now time.Time) {
-	co := sc.Directory.Configuration()
-	if co == nil {
-		return
-	}
-	if ens := sc.Directory.Endpoints(""); co != te.configuration || !directory.SameList(ens, te.endpoints) {
-		te.configuration, te.endpoints = co, ens
-		sc.refreshEngines(te, now)
-		te.table.SetWeights(co.Weights())
-	}
-	te.table.SetHolds(sc.Directory.Holds(), now)
-	for model, version := range sc.Directory.Versions() {
-		te.table.SetVersion(model, version)
-	}
-}
-
-// refreshEngines sets the table's engines from the term's endpoints, and starts the exchange
-// loops of new ones.
-func (sc *Scheduler) refreshEngines(te *term, now time.Time) {
-	var infos []EngineInfo
-	for _, en := range te.endpoints {
-		se, ok := te.configuration.Service(en.Service)
-		if !ok || len(en.Models) == 0 {
-			continue
-		}
-		infos = append(infos, sc.engineInfo(en, se))
-	}
-	te.table.SetEngines(infos, now)
-	for _, in := range infos {
-		if _, ok := te.exchangeKicks[in.ID]; !ok {
-			te.exchangeKicks[in.ID] = make(chan struct{}, 1)
-			go sc.exchangeLoop(te, in.ID, te.exchangeKicks[in.ID])
-		}
-	}
-}
-
-// attendantAddress returns the address of an engine's attendant.
-func (sc *Scheduler) attendantAddress(en directory.Endpoint) string {
-	host, _, err := net.SplitHostPort(en.Address)
-	if err != nil {
-		host = en.Address
-	}
-	return net.JoinHostPort(host, strconv.Itoa(sc.PeerPort))
-}
-
-func (sc *Scheduler) engineInfo(en directory.Endpoint, se directory.Service) EngineInfo {
-	in := EngineInfo{
-		Address: sc.attendantAddress(en), Endpoint: en.Address, ID: en.ID, Incarnation: en.Incarnation, Leaving: en.Leaving,
-		Service: en.Service, Slots: en.Slots, Tokens: se.Tokens, Versions: map[string]uint64{},
-	}
-	if in.Slots == 0 {
-		in.Slots = se.Slots
-	}
-	for _, mo := range en.Models {
-		in.Versions[mo.Model] = mo.Version
-	}
-	return in
-}
-
 // cleanUp drops expired steps, logs the load and loads results of earlier schedulers.
 func (sc *Scheduler) cleanUp(ctx context.Context, now time.Time) {
 	sc.mu.Lock()
