--- a/step/weights.go
+++ b/step/weights.go
@@ -122,6 +122,7 @@
 // with the most runs, which can't start new ones anyway.
 func (ta *Table) engineToLoad(ens []*engineRow, model string, version uint64) *engineRow {
 	var best *engineRow
+	var bestRank loadRank
 	for _, en := range ens {
 		if en.versions[model] == 0 || en.versions[model] >= version || en.order != nil {
 			continue
@@ -129,20 +130,36 @@
 		if !en.reachable() {
 			continue
 		}
-		if best == nil || ta.compareLoads(en, best, model) < 0 {
-			best = en
+		if rank := ta.loadRank(en, model); best == nil || rank.compare(bestRank) < 0 {
+			best, bestRank = en, rank
 		}
 	}
 	return best
 }
 
-// compareLoads orders engines by which should load a model first.
-func (ta *Table) compareLoads(a, b *engineRow, model string) int {
+// A loadRank orders engines by which should load a model first. It is computed once for each engine, as
+// counting an engine's usable models takes long where there are many engines.
+type loadRank struct {
+	id          string
+	items       int
+	negativeLag int
+	usable      int // other models with a usable version
+}
+
+// loadRank returns the rank of an engine.
+func (ta *Table) loadRank(en *engineRow, model string) loadRank {
+	return loadRank{
+		id: en.id, items: len(en.items), negativeLag: ta.negativeLag(en, model), usable: ta.countUsableModels(en, model),
+	}
+}
+
+// compare is negative if lr comes before other.
+func (lr loadRank) compare(other loadRank) int {
 	return cmp.Or(
-		cmp.Compare(ta.negativeLag(a, model), ta.negativeLag(b, model)),
-		cmp.Compare(ta.countUsableModels(a, model), ta.countUsableModels(b, model)),
-		cmp.Compare(len(b.items), len(a.items)),
-		cmp.Compare(a.id, b.id),
+		cmp.Compare(lr.negativeLag, other.negativeLag),
+		cmp.Compare(lr.usable, other.usable),
+		cmp.Compare(other.items, lr.items),
+		cmp.Compare(lr.id, other.id),
 	)
 }
 
