--- a/step/engines.go
+++ b/step/engines.go
@@ -109,7 +109,9 @@
 	rq := runner.ExchangeRequest{Await: ta.awaitTime(en), Endpoint: id, Epoch: ta.epoch, Number: ta.requests, Order: en.order}
 	for key, ir := range en.items {
 		if !ir.run.confirmed {
-			rq.Launches = append(rq.Launches, ta.launch(ir))
+			if !ta.launchesHeld {
+				rq.Launches = append(rq.Launches, ta.launch(ir))
+			}
 			continue
 		}
 		if ir.run.acked < len(ir.events)+1 {
--- a/step/exchange.go
+++ b/step/exchange.go
@@ -34,13 +34,13 @@
 // must be confirmed.
 func (ta *Table) exchangeUrgent(id string) bool {
 	en, ok := ta.engines[id]
-	return ok && (en.unconfirmed() || en.unsentStop())
+	return ok && (ta.unconfirmed(en) || en.unsentStop())
 }
 
-// unconfirmed reports whether the attendant has yet to confirm a launch or an order.
-func (en *engineRow) unconfirmed() bool {
+// unconfirmed reports whether an engine's attendant has yet to confirm a launch or an order.
+func (ta *Table) unconfirmed(en *engineRow) bool {
 	for _, ir := range en.items {
-		if !ir.run.confirmed {
+		if !ir.run.confirmed && !ta.launchesHeld {
 			return true
 		}
 	}
@@ -70,7 +70,7 @@
 // confirmed at once, and so is the first contact. An overloaded scheduler exchanges less often with
 // engines that run nothing than with the others.
 func (ta *Table) awaitTime(en *engineRow) time.Duration {
-	if en.respondedAt.IsZero() || en.unconfirmed() {
+	if en.respondedAt.IsZero() || ta.unconfirmed(en) {
 		return 0
 	}
 	interval, limit := ta.exchangeInterval(), maxRunInterval
@@ -174,6 +174,7 @@
 	default:
 	}
 	te.table.exchangeStretch = sc.pressure.Stretch()
+	te.table.launchesHeld = !sc.mayStartRuns(te, time.Now())
 	rq, ok = te.table.Request(id)
 	if !ok || sc.term != te {
 		delete(te.exchangeKicks, id)
@@ -190,21 +191,34 @@
 	if rq.Await == 0 {
 		return peer.Call[runner.ExchangeRequest, runner.ExchangeResponse](ctx, sc.Pool, address, runner.ExchangeMethod, rq)
 	}
-	type result struct {
-		err error
-		re  runner.ExchangeResponse
+	interrupted := interruptOn(ctx, cancel, kick)
+	re, err := peer.Call[runner.ExchangeRequest, runner.ExchangeResponse](ctx, sc.Pool, address, runner.ExchangeMethod, rq)
+	cancel()
+	switch {
+	case !<-interrupted:
+		return re, err
+	case err == nil:
+		notify(kick) // the response came first
+		return re, nil
+	default:
+		return re, errInterrupted
 	}
-	done := make(chan result, 1)
+}
+
+// interruptOn cancels a context when it receives from kick. The result says, once the context has ended,
+// whether it did. The call itself stays in the goroutine of its caller, whose stack has grown already.
+func interruptOn(ctx context.Context, cancel context.CancelFunc, kick chan struct{}) <-chan bool {
+	interrupted := make(chan bool, 1)
 	go func() {
-		re, err := peer.Call[runner.ExchangeRequest, runner.ExchangeResponse](ctx, sc.Pool, address, runner.ExchangeMethod, rq)
-		done <- result{err: err, re: re}
+		select {
+		case <-kick:
+			cancel()
+			interrupted <- true
+		case <-ctx.Done():
+			interrupted <- false
+		}
 	}()
-	select {
-	case rs := <-done:
-		return rs.re, rs.err
-	case <-kick:
-		return runner.ExchangeResponse{}, errInterrupted
-	}
+	return interrupted
 }
 
 // ExchangeLateness returns by how much attendants' responses are later than expected, on average. It
--- a/step/hold_test.go
+++ b/step/hold_test.go
@@ -122,3 +122,25 @@
 	ta.Place(late)
 	assert.Equal(t, ir.run.engineID, "b")
 }
+
+func TestLaunchesWaitForNewsOfSteps(t *testing.T) {
+	// Guards against an item that starts seconds after its step's end: a scheduler that is full hears of
+	// no ends, and sends a launch that was not confirmed again and again.
+	ta := tableOf(t, 1, "a")
+	ta.Accept(stepOf("s", 1), StoredStep{}, false, begin)
+	ta.Place(begin)
+	for _, tc := range []struct {
+		held     bool
+		launches int
+	}{{false, 1}, {true, 0}, {false, 1}} {
+		ta.launchesHeld = tc.held
+		rq, _ := ta.Request("a")
+		assert.Equal(t, len(rq.Launches), tc.launches)
+		assert.Equal(t, ta.exchangeUrgent("a"), !tc.held)
+		assert.Equal(t, rq.Await > 0, tc.held, "an exchange without a launch doesn't follow at once")
+	}
+	ta.End("s")
+	ta.launchesHeld = false
+	rq, _ := ta.Request("a")
+	assert.Equal(t, len(rq.Launches), 0)
+}
--- a/step/scheduler.go
+++ b/step/scheduler.go
@@ -188,7 +188,8 @@
 	}
 	ta.ChargeUsage(now)
 	ta.DropExpired(now)
-	if sc.mayStartRuns(te, now) {
+	ta.launchesHeld = !sc.mayStartRuns(te, now)
+	if !ta.launchesHeld {
 		ta.MoveStragglers(now)
 		ta.RelieveMemory(now)
 		ta.Place(now)
--- a/step/table.go
+++ b/step/table.go
@@ -39,6 +39,9 @@
 	requests      uint64            // number of requests to attendants
 	// exchangeStretch is the factor by which exchanges without news are put off; 0 stands for 1.
 	exchangeStretch float64
+	// launchesHeld means that no launch is sent, as the steps of the items may have ended unnoticed. A
+	// launch that no attendant has confirmed would otherwise be sent again and again.
+	launchesHeld bool
 	rewards         *rewardEstimator
 	usage           customerUsage
 	steps           map[string]*stepRow
