--- a/step/table.go
+++ b/step/table.go
@@ -42,10 +42,10 @@
 	// launchesHeld means that no launch is sent, as the steps of the items may have ended unnoticed. A
 	// launch that no attendant has confirmed would otherwise be sent again and again.
 	launchesHeld bool
-	rewards         *rewardEstimator
-	usage           customerUsage
-	steps           map[string]*stepRow
-	trials          trials // of items suspected to crash engines
+	rewards      *rewardEstimator
+	usage        customerUsage
+	steps        map[string]*stepRow
+	trials       trials // of items suspected to crash engines
 	// unscored are the items in state scoring.
 	unscored       map[*itemRow]bool
 	stoppedItems   []*itemRow        // moving items whose runs have stopped
