--- a/capacity/busyscheduler_test.go
+++ b/capacity/busyscheduler_test.go
@@ -20,8 +20,8 @@
 	bubble(t, func() {
 		cp := newControlPlane(t, engines)
 		defer cp.stop()
-		for _, sg := range cp.schedulers {
-			sg.processor = newProcessor(time.Duration(wanted * float64(time.Second) / demand))
+		for _, sn := range cp.schedulers {
+			sn.processor = newProcessor(time.Duration(wanted * float64(time.Second) / demand))
 		}
 		cp.startAll(t)
 		waitUntil(func() bool { return cp.atWork() != nil })
@@ -45,8 +45,8 @@
 	bubble(t, func() {
 		cp := newControlPlane(t, engines)
 		defer cp.stop()
-		for _, sg := range cp.schedulers {
-			sg.processor = newProcessor(time.Microsecond)
+		for _, sn := range cp.schedulers {
+			sn.processor = newProcessor(time.Microsecond)
 		}
 		cp.startAll(t)
 		waitUntil(func() bool { return cp.allKnow(engines) })
--- a/capacity/controlplane_bench_test.go
+++ b/capacity/controlplane_bench_test.go
@@ -86,12 +86,12 @@
 func (cp *controlPlane) massReturn(tb testing.TB, engines int) {
 	returning := cp.attendants[:engines/3]
 	pause := time.Second / time.Duration(len(returning))
-	for _, ag := range returning {
-		cp.unregister(tb, ag)
+	for _, an := range returning {
+		cp.unregister(tb, an)
 		time.Sleep(pause)
 	}
-	for _, ag := range returning {
-		cp.register(tb, ag, false)
+	for _, an := range returning {
+		cp.register(tb, an, false)
 		time.Sleep(pause)
 	}
 	waitUntil(func() bool { return cp.allKnow(engines) })
--- a/capacity/controlplane_test.go
+++ b/capacity/controlplane_test.go
@@ -70,22 +70,22 @@
 	conns []net.Conn
 }
 
-// A scheduling is the process of a scheduler.
-type scheduling struct {
+// A schedulerNode is the process of a scheduler.
+type schedulerNode struct {
 	*node
 	follower  *directory.Follower
 	scheduler *step.Scheduler
 }
 
-// An entering is the process of an entry.
-type entering struct {
+// An entryNode is the process of an entry.
+type entryNode struct {
 	*node
 	follower *directory.Follower
 	frontend *step.Frontend
 }
 
-// An attending is the process of an attendant, with its engine.
-type attending struct {
+// An attendantNode is the process of an attendant, with its engine.
+type attendantNode struct {
 	*node
 	engine *simulatedEngine
 	id     string
@@ -95,11 +95,11 @@
 // A controlPlane is one deployment: schedulers, entries, attendants and engines around one
 // key-value service, which use the real code over pipes. Entries serve no live requests.
 type controlPlane struct {
-	attendants []*attending
-	entries    []*entering
+	attendants []*attendantNode
+	entries    []*entryNode
 	me         keyvalue.Memory
 	network    network
-	schedulers []*scheduling
+	schedulers []*schedulerNode
 	work       sync.WaitGroup
 }
 
@@ -209,7 +209,7 @@
 }
 
 // newScheduler returns the i-th scheduler.
-func (cp *controlPlane) newScheduler(i int) *scheduling {
+func (cp *controlPlane) newScheduler(i int) *schedulerNode {
 	no := cp.newNode(fmt.Sprint(schedulerRole, "-", i), hostAddress(1, i))
 	client, log := no.storeClient(&cp.me), no.log()
 	di, qu := &directory.Directory{}, &quarantine.Table{}
@@ -225,7 +225,7 @@
 	sc.Holder.SuspectFunc = sc.IsDead
 	fo := no.follower(client, di, sc.IsLeader)
 	fo.Address, fo.HolderFunc, fo.Patience, fo.Quarantine = no.address, sc.Holder.OtherHolder, 300*time.Millisecond, qu
-	return &scheduling{node: no, follower: fo, scheduler: sc}
+	return &schedulerNode{node: no, follower: fo, scheduler: sc}
 }
 
 // follower returns the follower of a node.
@@ -237,17 +237,17 @@
 }
 
 // start starts a scheduler.
-func (sg *scheduling) start(cp *controlPlane) {
+func (sn *schedulerNode) start(cp *controlPlane) {
 	var sv peer.Server
-	sg.scheduler.Register(&sv)
-	directory.RegisterFeed(&sv, sg.follower, sg.name)
-	sg.serve(cp, &sv)
-	sg.background(cp, sg.scheduler.Run)
-	sg.background(cp, sg.follower.Run)
+	sn.scheduler.Register(&sv)
+	directory.RegisterFeed(&sv, sn.follower, sn.name)
+	sn.serve(cp, &sv)
+	sn.background(cp, sn.scheduler.Run)
+	sn.background(cp, sn.follower.Run)
 }
 
 // newEntry returns the i-th entry.
-func (cp *controlPlane) newEntry(i int) *entering {
+func (cp *controlPlane) newEntry(i int) *entryNode {
 	no := cp.newNode(entryRole, hostAddress(2, i))
 	client, di := no.storeClient(&cp.me), &directory.Directory{}
 	fo := no.follower(client, di, func() bool { return false })
@@ -255,48 +255,48 @@
 		CutOffFunc: func() bool { return di.CutOff(time.Now()) }, Keeper: &step.Store{Client: client}, Log: no.log(), Pool: no.pool,
 		Scheduler: fo.Feeder,
 	}
-	return &entering{node: no, follower: fo, frontend: fr}
+	return &entryNode{node: no, follower: fo, frontend: fr}
 }
 
 // start starts an entry.
-func (eg *entering) start(cp *controlPlane) { eg.background(cp, eg.follower.Run) }
+func (en *entryNode) start(cp *controlPlane) { en.background(cp, en.follower.Run) }
 
 // newAttendant returns the i-th attendant and its engine.
-func (cp *controlPlane) newAttendant(i int) *attending {
+func (cp *controlPlane) newAttendant(i int) *attendantNode {
 	no := cp.newNode(attendantRole, hostAddress(3, i))
 	en := newSimulatedEngine()
 	rn := &runner.Runner{Engine: en.engine(), Log: no.log(), Metrics: metrics.NewSet()}
-	return &attending{node: no, engine: en, id: fmt.Sprintf("engine-%04d", i), runner: rn}
+	return &attendantNode{node: no, engine: en, id: fmt.Sprintf("engine-%04d", i), runner: rn}
 }
 
 // start starts an attendant and registers its engine.
-func (ag *attending) start(cp *controlPlane, tb testing.TB) {
+func (an *attendantNode) start(cp *controlPlane, tb testing.TB) {
 	var sv peer.Server
 	peer.Handle(&sv, runner.ExchangeMethod,
 		func(ctx context.Context, _ message.Header, rq runner.ExchangeRequest) (runner.ExchangeResponse, error) {
-			return ag.runner.Exchange(ctx, rq)
+			return an.runner.Exchange(ctx, rq)
 		})
 	peer.Handle(&sv, runner.LastContactMethod,
 		func(context.Context, message.Header, step.Empty) (runner.LastContactResponse, error) {
-			return ag.runner.LastContact(), nil
+			return an.runner.LastContact(), nil
 		})
-	ag.serve(cp, &sv)
-	ag.background(cp, ag.runner.Run)
-	cp.register(tb, ag, false)
+	an.serve(cp, &sv)
+	an.background(cp, an.runner.Run)
+	cp.register(tb, an, false)
 }
 
 // register writes the entry of an attendant's engine.
-func (cp *controlPlane) register(tb testing.TB, ag *attending, leaving bool) {
+func (cp *controlPlane) register(tb testing.TB, an *attendantNode, leaving bool) {
 	en := directory.Endpoint{
-		Address: ag.address, Domain: "fd", ID: ag.id, Leaving: leaving, Service: engineService, Slots: engineSlots,
-		Models: ag.engine.models(),
+		Address: an.address, Domain: "fd", ID: an.id, Leaving: leaving, Service: engineService, Slots: engineSlots,
+		Models: an.engine.models(),
 	}
-	cp.write(tb, endpointPrefix+ag.id, en)
+	cp.write(tb, endpointPrefix+an.id, en)
 }
 
 // unregister deletes the entry of an attendant's engine.
-func (cp *controlPlane) unregister(tb testing.TB, ag *attending) {
-	it, err := cp.me.Client().Get(context.Background(), endpointPrefix+ag.id)
+func (cp *controlPlane) unregister(tb testing.TB, an *attendantNode) {
+	it, err := cp.me.Client().Get(context.Background(), endpointPrefix+an.id)
 	assert.NilError(tb, err)
 	assert.NilError(tb, cp.me.Client().Delete(context.Background(), it.Key, it.Version))
 }
@@ -348,15 +348,15 @@
 
 // startAll starts all processes at once, while the engines register within joinTime.
 func (cp *controlPlane) startAll(tb testing.TB) {
-	for _, sg := range cp.schedulers {
-		sg.start(cp)
+	for _, sn := range cp.schedulers {
+		sn.start(cp)
 	}
-	for _, eg := range cp.entries {
-		eg.start(cp)
+	for _, en := range cp.entries {
+		en.start(cp)
 	}
 	pause := joinTime / time.Duration(len(cp.attendants))
-	for _, ag := range cp.attendants {
-		ag.start(cp, tb)
+	for _, an := range cp.attendants {
+		an.start(cp, tb)
 		time.Sleep(pause)
 	}
 }
@@ -385,30 +385,30 @@
 // nodes returns all processes.
 func (cp *controlPlane) nodes() []*node {
 	var nos []*node
-	for _, sg := range cp.schedulers {
-		nos = append(nos, sg.node)
+	for _, sn := range cp.schedulers {
+		nos = append(nos, sn.node)
 	}
-	for _, eg := range cp.entries {
-		nos = append(nos, eg.node)
+	for _, en := range cp.entries {
+		nos = append(nos, en.node)
 	}
-	for _, ag := range cp.attendants {
-		nos = append(nos, ag.node)
+	for _, an := range cp.attendants {
+		nos = append(nos, an.node)
 	}
 	return nos
 }
 
 // atWork returns the scheduler in a term, or nil.
-func (cp *controlPlane) atWork() *scheduling {
-	for _, sg := range cp.schedulers {
-		if sg.ctx.Err() == nil && sg.scheduler.IsLeader() {
-			return sg
+func (cp *controlPlane) atWork() *schedulerNode {
+	for _, sn := range cp.schedulers {
+		if sn.ctx.Err() == nil && sn.scheduler.IsLeader() {
+			return sn
 		}
 	}
 	return nil
 }
 
 // roleOf returns the role of a process: schedulers differ by whether they are at work.
-func (cp *controlPlane) roleOf(name string, atWork *scheduling) string {
+func (cp *controlPlane) roleOf(name string, atWork *schedulerNode) string {
 	switch {
 	case atWork != nil && name == atWork.name:
 		return schedulerRole
--- a/capacity/controlplanecounts_test.go
+++ b/capacity/controlplanecounts_test.go
@@ -53,11 +53,11 @@
 		sum.Partial += fc.Partial
 		sum.Whole += fc.Whole
 	}
-	for _, sg := range cp.schedulers {
-		add(sg.follower)
+	for _, sn := range cp.schedulers {
+		add(sn.follower)
 	}
-	for _, eg := range cp.entries {
-		add(eg.follower)
+	for _, en := range cp.entries {
+		add(en.follower)
 	}
 	return sum
 }
--- a/capacity/lostfeeder_test.go
+++ b/capacity/lostfeeder_test.go
@@ -16,14 +16,14 @@
 	const engines = 60
 	for _, tc := range []struct {
 		name  string
-		lose  func(sg *scheduling)
+		lose  func(sn *schedulerNode)
 		calls float64 // paid, for each entry
 	}{
-		{"killed", func(sg *scheduling) { sg.kill() }, 0},
-		{"rejected by the key-value service", func(sg *scheduling) { sg.rejected.Store(true) }, 0},
-		{"silent", func(sg *scheduling) {
-			sg.muted.Store(true)
-			sg.rejected.Store(true)
+		{"killed", func(sn *schedulerNode) { sn.kill() }, 0},
+		{"rejected by the key-value service", func(sn *schedulerNode) { sn.rejected.Store(true) }, 0},
+		{"silent", func(sn *schedulerNode) {
+			sn.muted.Store(true)
+			sn.rejected.Store(true)
 		}, 0.2},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -41,8 +41,8 @@
 				t.Logf("%.2f calls by each entry, %+v in all", each, calls)
 				assert.Assert(t, each <= tc.calls, "%.2f", each)
 				assert.Assert(t, cp.atWork() != nil)
-				for _, sg := range cp.schedulers {
-					sg.muted.Store(false)
+				for _, sn := range cp.schedulers {
+					sn.muted.Store(false)
 				}
 			})
 		})
--- a/capacity/phase_test.go
+++ b/capacity/phase_test.go
@@ -114,18 +114,18 @@
 
 // allFollow reports whether all running followers know a configuration.
 func (cp *controlPlane) allFollow(version int64) bool {
-	return !slices.ContainsFunc(cp.entries, func(eg *entering) bool {
-		co := eg.follower.Directory.Configuration()
+	return !slices.ContainsFunc(cp.entries, func(en *entryNode) bool {
+		co := en.follower.Directory.Configuration()
 		return co == nil || co.Version < version
 	})
 }
 
 // allKnow reports whether all entries know a number of endpoints that are not leaving.
 func (cp *controlPlane) allKnow(endpoints int) bool {
-	return !slices.ContainsFunc(cp.entries, func(eg *entering) bool {
+	return !slices.ContainsFunc(cp.entries, func(en *entryNode) bool {
 		count := 0
-		for _, en := range eg.follower.Directory.Endpoints("") {
-			if !en.Leaving {
+		for _, endpoint := range en.follower.Directory.Endpoints("") {
+			if !endpoint.Leaving {
 				count++
 			}
 		}
@@ -135,5 +135,5 @@
 
 // allHear reports whether all attendants were called in an epoch after the given one.
 func (cp *controlPlane) allHear(epoch uint64) bool {
-	return !slices.ContainsFunc(cp.attendants, func(ag *attending) bool { return ag.runner.LastContact().Epoch <= epoch })
+	return !slices.ContainsFunc(cp.attendants, func(an *attendantNode) bool { return an.runner.LastContact().Epoch <= epoch })
 }
--- a/capacity/simulatedtrainer_test.go
+++ b/capacity/simulatedtrainer_test.go
@@ -33,8 +33,8 @@
 	groups := max(1, int(itemsPerEngine*stepInterval.Seconds()*float64(len(cp.attendants))/modelCount/membersEach))
 	begun := time.Now()
 	for number := 0; ctx.Err() == nil; number++ {
-		eg := cp.entries[(number*modelCount+st.model)%len(cp.entries)]
-		st.runStep(ctx, eg.frontend, number, groups)
+		en := cp.entries[(number*modelCount+st.model)%len(cp.entries)]
+		st.runStep(ctx, en.frontend, number, groups)
 		if ctx.Err() != nil {
 			return
 		}
--- a/directory/feed_property_test.go
+++ b/directory/feed_property_test.go
@@ -13,33 +13,33 @@
 	"wisteriacroft/peer"
 )
 
-// A feeding is a feeder and the processes that follow it.
-type feeding struct {
+// A feedFixture is a feeder and the processes that follow it.
+type feedFixture struct {
 	boot      int
 	feeder    *Follower
-	followers []*followed
+	followers []*followerFixture
 	slots     int // of the endpoint changed last, so that each change differs
 }
 
-// A followed is a process that follows the feeder.
-type followed struct {
+// A followerFixture is a process that follows the feeder.
+type followerFixture struct {
 	*Follower
 	late    []FeedResponse // responses that were lost
 	request FeedRequest    // the next one
 }
 
-func newFeeding(followers int) *feeding {
-	fe := &feeding{feeder: &Follower{Directory: &Directory{}, Log: quiet()}}
+func newFeedFixture(followers int) *feedFixture {
+	fe := &feedFixture{feeder: &Follower{Directory: &Directory{}, Log: quiet()}}
 	fe.feeder.Directory.SetEndpoints(nil, time.Now())
 	for range followers {
-		fd := &followed{Follower: &Follower{Directory: &Directory{}, Log: quiet()}, request: FeedRequest{Differences: true}}
+		fd := &followerFixture{Follower: &Follower{Directory: &Directory{}, Log: quiet()}, request: FeedRequest{Differences: true}}
 		fe.followers = append(fe.followers, fd)
 	}
 	return fe
 }
 
 // set adds or changes an endpoint of the feeder.
-func (fe *feeding) set(number int, leaving bool) {
+func (fe *feedFixture) set(number int, leaving bool) {
 	fe.slots++
 	fe.feeder.Directory.SetEndpoint(Endpoint{
 		Address: fmt.Sprintf("10.0.0.%d:80", number), Domain: "a", ID: fmt.Sprintf("e%02d", number), Leaving: leaving, Service: "desk", Slots: fe.slots,
@@ -47,7 +47,7 @@
 }
 
 // restart replaces the feeder by one that reads the endpoints anew.
-func (fe *feeding) restart() {
+func (fe *feedFixture) restart() {
 	ens, _ := fe.feeder.Directory.entries()
 	fe.boot++
 	fe.feeder = &Follower{Directory: &Directory{}, Log: quiet()}
@@ -55,7 +55,7 @@
 }
 
 // respond returns the feeder's response to a follower's request, as it is after encoding.
-func (fe *feeding) respond(tb assert.TestingT, fd *followed) FeedResponse {
+func (fe *feedFixture) respond(tb assert.TestingT, fd *followerFixture) FeedResponse {
 	fe.feeder.Directory.ConfirmEndpoints(time.Now())
 	up, _, err := fe.feeder.update(fmt.Sprint("boot-", fe.boot), fd.request)
 	assert.NilError(tb, err)
@@ -68,14 +68,14 @@
 }
 
 // apply applies a response and sets the next request.
-func (fd *followed) apply(tb assert.TestingT, re FeedResponse) error {
+func (fd *followerFixture) apply(tb assert.TestingT, re FeedResponse) error {
 	err := fd.applyEndpointUpdate(fd.request, re)
 	fd.request = fd.followUp(fd.request, re, err)
 	return err
 }
 
 // catchUp exchanges until the follower has the feeder's generation.
-func (fe *feeding) catchUp(tb assert.TestingT, fd *followed) {
+func (fe *feedFixture) catchUp(tb assert.TestingT, fd *followerFixture) {
 	for range 3 {
 		if fd.apply(tb, fe.respond(tb, fd)) == nil {
 			return
@@ -85,7 +85,7 @@
 }
 
 // check compares a follower with the feeder.
-func (fe *feeding) check(tb assert.TestingT, fd *followed) {
+func (fe *feedFixture) check(tb assert.TestingT, fd *followerFixture) {
 	want, _ := fe.feeder.Directory.entries()
 	got, _ := fd.Directory.entries()
 	assert.DeepEqual(tb, got, want)
@@ -95,9 +95,11 @@
 // repeated responses, and reads of their own.
 func TestFollowersMatchFeeder(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		fe := newFeeding(3)
+		fe := newFeedFixture(3)
 		number := rapid.IntRange(0, 120)
-		pick := func() *followed { return fe.followers[rapid.IntRange(0, len(fe.followers)-1).Draw(rt, "follower")] }
+		pick := func() *followerFixture {
+			return fe.followers[rapid.IntRange(0, len(fe.followers)-1).Draw(rt, "follower")]
+		}
 		rt.Repeat(map[string]func(*rapid.T){
 			"set": func(rt *rapid.T) {
 				for range rapid.IntRange(1, 40).Draw(rt, "count") {
@@ -153,7 +155,7 @@
 		{"a removal is missing", func(re *FeedResponse) { re.Removed = nil }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			fe := newFeeding(1)
+			fe := newFeedFixture(1)
 			fd := fe.followers[0]
 			for i := range 10 {
 				fe.set(i, false)
@@ -179,7 +181,7 @@
 
 // A process of an earlier release can't apply differences, and gets all endpoints.
 func TestFollowerOfEarlierReleaseGetsAll(t *testing.T) {
-	fe := newFeeding(1)
+	fe := newFeedFixture(1)
 	fd := fe.followers[0]
 	fe.set(1, false)
 	fe.catchUp(t, fd)
@@ -194,7 +196,7 @@
 // feeder's processor with endpoints times followers.
 func TestChangeIsEncodedOnce(t *testing.T) {
 	const endpoints, followers = 200, 100
-	fe := newFeeding(followers)
+	fe := newFeedFixture(followers)
 	for i := range endpoints {
 		fe.set(i, false)
 	}
@@ -226,7 +228,7 @@
 
 // Guards against a feeder that panics when it is asked before it knows of any endpoint or configuration.
 func TestFeedOfEmptyDirectory(t *testing.T) {
-	fe := newFeeding(1)
+	fe := newFeedFixture(1)
 	fe.feeder.Directory.ConfirmEndpoints(time.Now())
 	up, _, err := fe.feeder.update(testBoot, FeedRequest{Differences: true})
 	assert.NilError(t, err)
