Directory: each kind of state has an age, in logs and metrics

The log could not tell whether an old configuration came from the feeder, from an entry's own read or from a step back. Each process now records when it last knew each topic to be the newest (endpoints, operator, holds, quarantine), logs when one grows old and is confirmed again, and a rejected line names the version that decided and its age. Nothing that decides has changed: times are recorded where they were.

--- a/access/access_test.go
+++ b/access/access_test.go
@@ -80,10 +80,10 @@
 	ch := &Checker{Directory: di, Header: "Key", Metrics: metrics.NewSet()}
 	unknown := http.Header{"Key": {"Bearer key-4"}}
 	assert.Equal(t, ch.Check(di.Configuration(), false, unknown).Outcome, Undetermined)
-	di.ConfirmConfiguration(time.Now())
-	assert.Equal(t, ch.Check(di.Configuration(), false, unknown).Outcome, Denied)
-	di.ConfirmConfiguration(time.Now().Add(-2 * time.Second))
+	di.Confirm(directory.TopicOperator, time.Now().Add(-2*time.Second))
 	assert.Equal(t, ch.Check(di.Configuration(), false, unknown).Outcome, Undetermined)
+	di.Confirm(directory.TopicOperator, time.Now())
+	assert.Equal(t, ch.Check(di.Configuration(), false, unknown).Outcome, Denied)
 }
 
 func TestCountedCustomersAreBounded(t *testing.T) {
--- a/cmd/platformhost.go
+++ b/cmd/platformhost.go
@@ -130,6 +130,12 @@
 	} {
 		ho.metrics.NewGauge("wisteriacroft_feed_"+name, func() float64 { return float64(count(fo.FeedCounts())) })
 	}
+	for _, to := range directory.Topics() {
+		ho.metrics.NewGauge(`wisteriacroft_state_age_seconds{topic="`+to.String()+`"}`, func() float64 {
+			age, _ := ho.directory.Age(to, time.Now())
+			return age.Seconds()
+		})
+	}
 	for _, ki := range hold.Kinds {
 		ho.metrics.NewGauge(`wisteriacroft_holds{kind="`+string(ki)+`"}`, func() float64 { return float64(ho.directory.Holds().Count(ki)) })
 	}
--- a/directory/differences.go
+++ b/directory/differences.go
@@ -34,7 +34,8 @@
 	di.mu.RLock()
 	defer di.mu.RUnlock()
 	st = feedState{configuration: di.configuration, generation: di.changes.generation(), holds: di.holds, revision: di.revision}
-	return st, now.Sub(di.confirmedAt), di.synced && !di.confirmedAt.IsZero()
+	at := di.confirmedAt[TopicEndpoints]
+	return st, now.Sub(at), di.synced && !at.IsZero()
 }
 
 // coversChanges reports whether all changes of endpoints since a generation are known.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -33,7 +33,7 @@
 	missing       map[string]time.Time // when to drop endpoints whose entries are missing
 	versions      map[string]uint64    // newest announced version by model
 	synced        bool                 // endpoints have been read once
-	confirmedAt   time.Time            // when the endpoints were last read from the key-value service
+	confirmedAt   [topicCount]time.Time
 	changed       broadcast.Signal
 	changes       changeLog // of the endpoints, without model versions
 	revision      uint64    // of the endpoints, with model versions
@@ -42,7 +42,6 @@
 	unavailableSince time.Time // zero while the key-value service responds
 	recoveredAt      time.Time // end of the last outage
 	lastContact      time.Time // last response of the key-value service or the feeder
-	configurationAt  time.Time // when the configuration was last known to be the newest
 }
 
 // Configuration returns the configuration in force, or nil before it is known. It must not be
@@ -211,27 +210,12 @@
 	return now.Sub(di.lastContact) >= contactTimeout
 }
 
-// ConfirmConfiguration records that the configuration was the newest one at the given time.
-func (di *Directory) ConfirmConfiguration(at time.Time) {
-	di.mu.Lock()
-	defer di.mu.Unlock()
-	di.configurationAt = at
-}
-
 // ConfigurationStale reports whether a newer configuration may exist that this process has not
 // read: it has just started, is cut off, or is rejected by the key-value service. A key or
 // route that is missing from a stale configuration may be known to other processes.
 func (di *Directory) ConfigurationStale(now time.Time) bool {
-	di.mu.RLock()
-	defer di.mu.RUnlock()
-	return now.Sub(di.configurationAt) >= contactTimeout
-}
-
-// ConfirmEndpoints records that the endpoints were up to date at the given time.
-func (di *Directory) ConfirmEndpoints(at time.Time) {
-	di.mu.Lock()
-	defer di.mu.Unlock()
-	di.confirmedAt = at
+	age, known := di.Age(TopicOperator, now)
+	return !known || age >= contactTimeout
 }
 
 // RemoveEndpoint removes an endpoint whose entry was removed.
--- a/directory/feed_test.go
+++ b/directory/feed_test.go
@@ -31,7 +31,7 @@
 func TestFeed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		di := withEndpoint()
-		di.ConfirmEndpoints(time.Now())
+		di.Confirm(TopicEndpoints, time.Now())
 		fo := &Follower{Directory: di}
 		first, err := fo.feed(t.Context(), FeedRequest{})
 		assert.NilError(t, err)
@@ -48,7 +48,7 @@
 		assert.Assert(t, !second.Fresh, "a new version does not change the generation")
 		assert.Assert(t, time.Since(start) >= feedWait)
 
-		di.ConfirmEndpoints(time.Now())
+		di.Confirm(TopicEndpoints, time.Now())
 		time.AfterFunc(100*time.Millisecond, func() {
 			en.Leaving = true
 			di.SetEndpoint(en)
@@ -67,7 +67,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		di := withEndpoint()
 		di.SetConfiguration(&Configuration{Version: 3})
-		di.ConfirmEndpoints(time.Now())
+		di.Confirm(TopicEndpoints, time.Now())
 		feeder := &Follower{Directory: di}
 		first, err := feeder.feed(t.Context(), FeedRequest{})
 		assert.NilError(t, err)
@@ -137,13 +137,13 @@
 	// key-value service keeps sending stale endpoints.
 	synctest.Test(t, func(t *testing.T) {
 		di := withEndpoint()
-		di.ConfirmEndpoints(time.Now())
+		di.Confirm(TopicEndpoints, time.Now())
 		fo := &Follower{Directory: di}
 		time.Sleep(maxFeedAge + time.Millisecond)
 		_, err := fo.feed(t.Context(), FeedRequest{})
 		assert.Assert(t, errors.Is(err, ErrOldEndpoints))
 		fo.DirectFunc = func() bool { return false }
-		di.ConfirmEndpoints(time.Now())
+		di.Confirm(TopicEndpoints, time.Now())
 		_, err = fo.feed(t.Context(), FeedRequest{})
 		assert.Assert(t, errors.Is(err, ErrNotFeeder), "it does not follow the service itself")
 	})
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -90,13 +90,14 @@
 	awaitsOperator  atomic.Bool // the operators' keys have yet to be read since the process follows them itself
 	cache           updateCache
 	counts          feedCounters
-	failedReads     int         // of the endpoints, one after the other
-	holdsCheckedAt  time.Time   // last read of the holds because the feeder sent older ones
-	known           standbyList // callers that can feed others
-	lastFeeder      string      // address of the last known feeder
-	standbys        string      // as last told by the feeder, see standbyList.joined
-	substituteAt    string      // address of the standby that feeds this process in the feeder's place, or ""
-	substitutes     atomic.Bool // this process feeds others in its feeder's place
+	failedReads     int              // of the endpoints, one after the other
+	holdsCheckedAt  time.Time        // last read of the holds because the feeder sent older ones
+	known           standbyList      // callers that can feed others
+	lastFeeder      string           // address of the last known feeder
+	old             [topicCount]bool // as logged, see logAges
+	standbys        string           // as last told by the feeder, see standbyList.joined
+	substituteAt    string           // address of the standby that feeds this process in the feeder's place, or ""
+	substitutes     atomic.Bool      // this process feeds others in its feeder's place
 	emptyQuarantine quarantine.Table
 	unusable        unusableEntries
 }
@@ -114,6 +115,7 @@
 		for ctx.Err() == nil && fo.direct() == direct {
 			sleep(ctx, expireEvery)
 			fo.Directory.Expire(time.Now())
+			fo.logAges(direct, time.Now())
 		}
 		cancel()
 		fo.Directory.changed.Notify() // the responses of a feeder that is none any more
--- a/directory/followfeeder.go
+++ b/directory/followfeeder.go
@@ -103,7 +103,7 @@
 // reregisterGrace, as this process does not call the service itself.
 func (fo *Follower) applyResponse(ctx context.Context, rq FeedRequest, re FeedResponse) error {
 	fo.setUnavailable(fo.Source.EndpointPrefix, nil)
-	fo.Directory.ConfirmConfiguration(time.Now())
+	fo.Directory.Confirm(TopicOperator, time.Now())
 	fo.setHolds("feeder", re.Holds)
 	if re.Holds != nil && time.Since(fo.holdsCheckedAt) >= holdsCheckPause {
 		fo.holdsCheckedAt = time.Now()
--- a/directory/holds_test.go
+++ b/directory/holds_test.go
@@ -56,7 +56,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var me keyvalue.Memory
 		di := withEndpoint()
-		di.ConfirmEndpoints(time.Now())
+		di.Confirm(TopicEndpoints, time.Now())
 		feeder := &Follower{Directory: di, Log: quiet()}
 		first, err := feeder.feed(t.Context(), FeedRequest{})
 		assert.NilError(t, err)
@@ -210,7 +210,7 @@
 		fed.readHolds(t.Context())
 		assert.Assert(t, isHeld(fed, "bakery"))
 		call := func() {
-			feeder.Directory.ConfirmEndpoints(time.Now())
+			feeder.Directory.Confirm(TopicEndpoints, time.Now())
 			start := time.Now()
 			re, err := feeder.feed(t.Context(), FeedRequest{Boot: "boot", Generation: 1, Holds: fed.Directory.Holds().Version()})
 			assert.NilError(t, err)
--- a/directory/prefix.go
+++ b/directory/prefix.go
@@ -7,7 +7,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"wisteriacroft/hold"
 	"wisteriacroft/keyvalue"
+	"wisteriacroft/quarantine"
 )
 
 // Prefix scans a prefix and follows its changes until ctx ends. Apply is called with a complete
@@ -45,11 +47,10 @@
 		if scan || len(ch.Items) > 0 {
 			apply(ch.Items, scan)
 		}
-		switch prefix {
-		case fo.Source.EndpointPrefix:
-			fo.Directory.ConfirmEndpoints(time.Now())
-		case fo.Source.OperatorPrefix, fo.Source.ConfigurationKey:
-			fo.Directory.ConfirmConfiguration(time.Now())
+		if to, ok := fo.topic(prefix); ok {
+			fo.Directory.Confirm(to, time.Now())
+		}
+		if prefix == fo.Source.OperatorPrefix || prefix == fo.Source.ConfigurationKey {
 			fo.awaitsOperator.Store(false)
 		}
 		if scan || len(ch.Items) > 0 {
@@ -59,6 +60,22 @@
 	}
 }
 
+// topic returns the topic that the items under a prefix belong to.
+func (fo *Follower) topic(prefix string) (Topic, bool) {
+	switch prefix {
+	case fo.Source.EndpointPrefix:
+		return TopicEndpoints, true
+	case fo.Source.OperatorPrefix, fo.Source.ConfigurationKey:
+		return TopicOperator, true
+	case hold.Key:
+		return TopicHolds, true
+	case quarantine.Key:
+		return TopicQuarantine, true
+	default:
+		return 0, false
+	}
+}
+
 func (fo *Follower) next(
 	ctx context.Context, prefix string, after int64, scan bool, wait time.Duration,
 ) (keyvalue.Changes, error) {
--- a/forward/customer_test.go
+++ b/forward/customer_test.go
@@ -38,6 +38,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			de := deploy(t, directory.Route{Kind: directory.Repeatable}, echoHeaders)
 			de.requireKeys(tc.public)
+			de.forwarder.Directory.Confirm(directory.TopicOperator, time.Now())
 			rq, err := http.NewRequestWithContext(t.Context(), http.MethodPost, de.entry.URL+"/a/1", strings.NewReader("x"))
 			assert.NilError(t, err)
 			rq.Host = "desk"
@@ -65,7 +66,6 @@
 		co.Routes[i].Public = public
 	}
 	de.forwarder.Directory.SetConfiguration(&co)
-	de.forwarder.Directory.ConfirmConfiguration(time.Now())
 }
 
 // An entry whose configuration may be out of date must not answer 401, which callers treat as
@@ -73,7 +73,7 @@
 func TestUnknownKeyWithStaleConfiguration(t *testing.T) {
 	de := deploy(t, directory.Route{Kind: directory.Repeatable}, echoHeaders)
 	de.requireKeys(false)
-	de.forwarder.Directory.ConfirmConfiguration(time.Now().Add(-10 * time.Second))
+	de.forwarder.Directory.Confirm(directory.TopicOperator, time.Now().Add(-10*time.Second))
 	rq, err := http.NewRequestWithContext(t.Context(), http.MethodPost, de.entry.URL+"/a/1", strings.NewReader("x"))
 	assert.NilError(t, err)
 	rq.Host = "desk"
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -271,7 +271,7 @@
 }
 
 func (fo *Forwarder) reject(rw http.ResponseWriter, hr *http.Request, rj *rejection) {
-	fo.Log.WithFields(rj.fields).WithFields(logrus.Fields{
+	fo.Log.WithFields(rj.fields).WithFields(fo.configurationFields()).WithFields(logrus.Fields{
 		"host": hr.Host, "path": hr.URL.Path, "reason": rj.reason,
 		requestField: hr.Header.Get(fo.Headers.RequestID), "status": rj.status,
 	}).Warn("rejected")
@@ -283,6 +283,16 @@
 	rj.answer(rw)
 }
 
+// configurationFields returns the log fields that tell by which configuration a request was decided.
+func (fo *Forwarder) configurationFields() logrus.Fields {
+	co := fo.Directory.Configuration()
+	age, known := fo.Directory.Age(directory.TopicOperator, time.Now())
+	if co == nil || !known {
+		return logrus.Fields{}
+	}
+	return logrus.Fields{"configuration-age-ms": age.Milliseconds(), "version": co.Version}
+}
+
 // deny answers a request that lacks a valid key.
 func deny(rw http.ResponseWriter, reason string) {
 	data, err := json.Marshal(struct {
--- a/forward/memory_test.go
+++ b/forward/memory_test.go
@@ -40,7 +40,7 @@
 	co.Version++
 	co.Limits.BodySize = 0
 	de.forwarder.Directory.SetConfiguration(&co)
-	de.forwarder.Directory.ConfirmConfiguration(time.Now())
+	de.forwarder.Directory.Confirm(directory.TopicOperator, time.Now())
 	de.forwarder.SetMemory(bound)
 	return de
 }
