--- a/forward/customer_test.go
+++ b/forward/customer_test.go
@@ -86,3 +86,29 @@
 	assert.Equal(t, re.Header.Get("Retry-After"), "0.5")
 	assert.Equal(t, de.runs.Load(), int64(0))
 }
+
+// An entry whose configuration may be out of date must not answer 404, which callers treat as
+// final, for a route that other entries may have.
+func TestMissingRouteWithStaleConfiguration(t *testing.T) {
+	de := deploy(t, directory.Route{Kind: directory.Repeatable}, echoHeaders)
+	for _, tc := range []struct {
+		name   string
+		age    time.Duration
+		status int
+	}{
+		{"old", 10 * time.Second, http.StatusServiceUnavailable},
+		{"new", 0, http.StatusNotFound},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			de.forwarder.Directory.Confirm(directory.TopicOperator, time.Now().Add(-tc.age))
+			rq, err := http.NewRequestWithContext(t.Context(), http.MethodPost, de.entry.URL+"/a/1", strings.NewReader("x"))
+			assert.NilError(t, err)
+			rq.Host = "other"
+			rq.Header.Set(headers.RequestID, "id-1")
+			re, err := http.DefaultClient.Do(rq)
+			assert.NilError(t, err)
+			_ = re.Body.Close()
+			assert.Equal(t, re.StatusCode, tc.status)
+		})
+	}
+}
