Directory: a feeder passes on only what it knows to be the newest, for each topic

Callers saw requests handled by a configuration that had been replaced more than 2 s before, and 404 for routes that were there. The feeder checked the age of its endpoints and nothing else: the long poll of the operators' keys, whose answer a silent store or connection had lost, ended after 11 s, and all the while followers took the old configuration for the newest one with each response.

Each topic (endpoints, operator, holds, quarantine) now has a time at which it is known to have been the newest: that of the call, or the end of its wait if nothing changed, by the steady clock or the time of day, whichever says more. A feeder sends nothing while one of them is too old; a response tells the age, and a follower counts from there, with what the response took on its way. Long polls wait 0.8 s for all topics, so that a lost answer is noticed within 1.8 s, and less after a response that came late. Whether the store is there is kept by prefix: a long poll that failed late was taken for an outage of the endpoints.

TestFeederWithoutNewsOfOneTopic failed in four cases of four before.

--- a/capacity/controlplane_test.go
+++ b/capacity/controlplane_test.go
@@ -131,7 +131,7 @@
 	no.ctx, no.cancel = context.WithCancel(context.Background())
 	no.pool = &peer.Pool{
 		Codes: append(step.Codes(), peer.Code{Err: directory.ErrNotFeeder, Name: "not-feeder"},
-			peer.Code{Err: directory.ErrOldEndpoints, Name: "old-endpoints"}),
+			peer.Code{Err: directory.ErrOldState, Name: "old-endpoints"}),
 		DialFunc: func(ctx context.Context, address string) (net.Conn, error) {
 			co, err := cp.network.dial(ctx, address)
 			if err != nil {
--- a/cmd/platformhost.go
+++ b/cmd/platformhost.go
@@ -104,7 +104,7 @@
 func codes() []peer.Code {
 	return append(append(append(append(step.Codes(), usage.Codes()...), scale.Codes()...), allocation.Codes()...),
 		peer.Code{Err: directory.ErrNotFeeder, Name: "not-feeder"},
-		peer.Code{Err: directory.ErrOldEndpoints, Name: "old-endpoints"})
+		peer.Code{Err: directory.ErrOldState, Name: "old-endpoints"})
 }
 
 func setMemoryLimit(se platform.Settings) {
--- a/directory/callfeeder.go
+++ b/directory/callfeeder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -69,10 +70,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, feedTimeout)
 	defer cancel()
+	called := time.Now()
 	re, err := peer.Call[FeedRequest, FeedResponse](ctx, fo.Pool, address, feedMethod, rq)
-	if err != nil && ctx.Err() == nil && !errors.Is(err, ErrOldEndpoints) || errors.Is(err, context.DeadlineExceeded) {
+	if err != nil && ctx.Err() == nil && !errors.Is(err, ErrOldState) || errors.Is(err, context.DeadlineExceeded) {
 		fo.Feeder.Invalidate(address, err)
 	}
+	re.Age += max(0, elapsed(called, time.Now())-feedWait) // the response may have been held up on its way
 	return re, err
 }
 
--- a/directory/differences.go
+++ b/directory/differences.go
@@ -1,8 +1,6 @@
 package directory
 
 import (
-	"time"
-
 	"wisteriacroft/hold"
 )
 
@@ -28,14 +26,11 @@
 // the holds. Versions of weights don't count.
 func (di *Directory) Changed() <-chan struct{} { return di.changed.Changed() }
 
-// feedState returns the current state, how long ago the endpoints were confirmed, and whether they
-// ever were.
-func (di *Directory) feedState(now time.Time) (st feedState, age time.Duration, known bool) {
+// feedState returns the current state.
+func (di *Directory) feedState() feedState {
 	di.mu.RLock()
 	defer di.mu.RUnlock()
-	st = feedState{configuration: di.configuration, generation: di.changes.generation(), holds: di.holds, revision: di.revision}
-	at := di.confirmedAt[TopicEndpoints]
-	return st, now.Sub(at), di.synced && !at.IsZero()
+	return feedState{configuration: di.configuration, generation: di.changes.generation(), holds: di.holds, revision: di.revision}
 }
 
 // coversChanges reports whether all changes of endpoints since a generation are known.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -23,6 +23,10 @@
 // which a process considers itself cut off. Responses normally arrive every 0.8 s.
 const contactTimeout = 1500 * time.Millisecond
 
+// configurationTimeout is the age from which a configuration may be older than that of other processes: a change
+// must be in force after this time. With a feeder it is confirmed at intervals of maxFeedAge at most.
+const configurationTimeout = 2 * time.Second
+
 // A Directory is a process's table of routes and endpoints. The zero value is empty and ready
 // to use. It is safe for concurrent use.
 type Directory struct {
@@ -215,7 +219,7 @@
 // route that is missing from a stale configuration may be known to other processes.
 func (di *Directory) ConfigurationStale(now time.Time) bool {
 	age, known := di.Age(TopicOperator, now)
-	return !known || age >= contactTimeout
+	return !known || age >= configurationTimeout
 }
 
 // RemoveEndpoint removes an endpoint whose entry was removed.
--- a/directory/feed.go
+++ b/directory/feed.go
@@ -16,12 +16,11 @@
 	// feedWait is how long a response waits for changes.
 	feedWait    = 800 * time.Millisecond
 	feedTimeout = feedWait + 400*time.Millisecond
-	// maxFeedAge bounds the age of the endpoints that a feeder sends. Together with the
-	// duration of a call it stays below the 2 s after which a leaving endpoint must get no new
-	// work.
-	maxFeedAge = 1100 * time.Millisecond
 	// feedPause is the pause after a change, so that the changes of one batch are sent together.
 	feedPause = 20 * time.Millisecond
+	// feedAgeStep is the unit to which the age in a response is rounded up, so that followers that ask
+	// at the same time get the same response.
+	feedAgeStep = 100 * time.Millisecond
 )
 
 // unknownGeneration is the generation of endpoints that did not come from a feeder.
@@ -29,10 +28,10 @@
 
 // Errors of the feed.
 var (
-	// ErrNotFeeder means that the process does not follow the endpoints itself.
+	// ErrNotFeeder means that the process does not follow the key-value service itself.
 	ErrNotFeeder = errors.New("does not feed")
-	// ErrOldEndpoints means that the feeder has not confirmed its endpoints recently.
-	ErrOldEndpoints = errors.New("endpoints are old")
+	// ErrOldState means that the feeder has not confirmed one of the topics recently.
+	ErrOldState = errors.New("state is old")
 )
 
 var (
@@ -61,6 +60,8 @@
 // A FeedResponse holds the changes: the endpoints, if Fresh or Partial, and the configuration and the
 // quarantined requests, if newer than the caller's.
 type FeedResponse struct {
+	// Age is the time since all topics were known to be the newest. It is 0 in responses of earlier releases.
+	Age           time.Duration `cbor:",omitempty"`
 	Boot          string
 	Configuration *Configuration `cbor:",omitempty"`
 	Endpoints     []Endpoint     // all if Fresh; if Partial, those that changed since the caller's generation
@@ -74,7 +75,7 @@
 	Removed       []string            `cbor:",omitempty"` // IDs of endpoints, if Partial
 	Since         uint64              `cbor:",omitempty"` // the generation that a partial response follows
 	// Stale means that only Holder and Quarantine are set: the process is not a feeder, or its
-	// endpoints are stale.
+	// state is old.
 	Stale bool `cbor:",omitempty"`
 	// Standbys are the addresses of the processes that feed while this one is away, if other than the
 	// caller's, separated by spaces.
--- a/directory/feed_property_test.go
+++ b/directory/feed_property_test.go
@@ -56,7 +56,7 @@
 
 // respond returns the feeder's response to a follower's request, as it is after encoding.
 func (fe *feedFixture) respond(tb assert.TestingT, fd *followerFixture) FeedResponse {
-	fe.feeder.Directory.Confirm(TopicEndpoints, time.Now())
+	confirmAll(fe.feeder.Directory)
 	up, _, err := fe.feeder.update(fmt.Sprint("boot-", fe.boot), fd.request)
 	assert.NilError(tb, err)
 	re, _ := fe.feeder.response(up)
@@ -201,7 +201,9 @@
 		fe.set(i, false)
 	}
 	send := func() (sent int) {
-		fe.feeder.Directory.Confirm(TopicEndpoints, time.Now())
+		for _, to := range Topics() {
+			fe.feeder.Directory.Confirm(to, time.Now().Add(time.Hour)) // the age in responses stays the same
+		}
 		for _, fd := range fe.followers {
 			up, _, err := fe.feeder.update("boot-0", fd.request)
 			assert.NilError(t, err)
@@ -229,7 +231,7 @@
 // Guards against a feeder that panics when it is asked before it knows of any endpoint or configuration.
 func TestFeedOfEmptyDirectory(t *testing.T) {
 	fe := newFeedFixture(1)
-	fe.feeder.Directory.Confirm(TopicEndpoints, time.Now())
+	confirmAll(fe.feeder.Directory)
 	up, _, err := fe.feeder.update(testBoot, FeedRequest{Differences: true})
 	assert.NilError(t, err)
 	for range 2 {
--- a/directory/feed_test.go
+++ b/directory/feed_test.go
@@ -18,6 +18,13 @@
 // testBoot is the boot ID of feeders in tests.
 const testBoot = "boot"
 
+// confirmAll records that all topics are the newest now.
+func confirmAll(di *Directory) {
+	for _, to := range Topics() {
+		di.Confirm(to, time.Now())
+	}
+}
+
 // feed responds to a follower once there are changes for it, or after feedWait.
 func (fo *Follower) feed(ctx context.Context, rq FeedRequest) (FeedResponse, error) {
 	up, err := fo.awaitUpdate(ctx, testBoot, rq)
@@ -31,7 +38,7 @@
 func TestFeed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		di := withEndpoint()
-		di.Confirm(TopicEndpoints, time.Now())
+		confirmAll(di)
 		fo := &Follower{Directory: di}
 		first, err := fo.feed(t.Context(), FeedRequest{})
 		assert.NilError(t, err)
@@ -48,7 +55,7 @@
 		assert.Assert(t, !second.Fresh, "a new version does not change the generation")
 		assert.Assert(t, time.Since(start) >= feedWait)
 
-		di.Confirm(TopicEndpoints, time.Now())
+		confirmAll(di)
 		time.AfterFunc(100*time.Millisecond, func() {
 			en.Leaving = true
 			di.SetEndpoint(en)
@@ -67,7 +74,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		di := withEndpoint()
 		di.SetConfiguration(&Configuration{Version: 3})
-		di.Confirm(TopicEndpoints, time.Now())
+		confirmAll(di)
 		feeder := &Follower{Directory: di}
 		first, err := feeder.feed(t.Context(), FeedRequest{})
 		assert.NilError(t, err)
@@ -75,7 +82,8 @@
 
 		time.AfterFunc(100*time.Millisecond, func() { di.SetConfiguration(&Configuration{Version: 5}) })
 		start := time.Now()
-		second, err := feeder.feed(t.Context(), FeedRequest{Boot: "boot", Generation: first.Generation, Version: 3})
+		rq := FeedRequest{Boot: "boot", Generation: first.Generation, Version: 3}
+		second, err := feeder.feed(t.Context(), rq)
 		assert.NilError(t, err)
 		assert.Equal(t, second.Configuration.Version, int64(5))
 		assert.Assert(t, !second.Fresh)
@@ -84,7 +92,7 @@
 		logger := logrus.New()
 		logger.SetLevel(logrus.PanicLevel)
 		fed := &Follower{Directory: &Directory{}, Log: logrus.NewEntry(logger)}
-		assert.NilError(t, fed.applyResponse(t.Context(), FeedRequest{}, second))
+		assert.NilError(t, fed.applyResponse(t.Context(), rq, second))
 		assert.Equal(t, fed.Directory.Configuration().Version, int64(5))
 		assert.NilError(t, fed.applyResponse(t.Context(), FeedRequest{}, first)) // a delayed response
 		assert.Equal(t, fed.Directory.Configuration().Version, int64(5))
@@ -137,13 +145,13 @@
 	// key-value service keeps sending stale endpoints.
 	synctest.Test(t, func(t *testing.T) {
 		di := withEndpoint()
-		di.Confirm(TopicEndpoints, time.Now())
+		confirmAll(di)
 		fo := &Follower{Directory: di}
-		time.Sleep(maxFeedAge + time.Millisecond)
+		time.Sleep(maxEndpointAge + time.Millisecond)
 		_, err := fo.feed(t.Context(), FeedRequest{})
-		assert.Assert(t, errors.Is(err, ErrOldEndpoints))
+		assert.Assert(t, errors.Is(err, ErrOldState))
 		fo.DirectFunc = func() bool { return false }
-		di.Confirm(TopicEndpoints, time.Now())
+		confirmAll(di)
 		_, err = fo.feed(t.Context(), FeedRequest{})
 		assert.Assert(t, errors.Is(err, ErrNotFeeder), "it does not follow the service itself")
 	})
@@ -159,7 +167,7 @@
 	}{
 		{"success", nil, false},
 		{"history lost", keyvalue.ErrHistoryGone, false},
-		{"feeder cut off", ErrOldEndpoints, false},
+		{"feeder cut off", ErrOldState, false},
 		{"no longer a feeder", ErrNotFeeder, false},
 		{"timeout", context.DeadlineExceeded, true},
 		{"rejected by the key-value service", keyvalue.ErrUnavailable, true},
--- a/directory/feeder.go
+++ b/directory/feeder.go
@@ -26,6 +26,7 @@
 
 // An update is what a response to a follower has to hold. Equal updates have equal responses.
 type update struct {
+	age           time.Duration // a multiple of feedAgeStep
 	boot          string
 	configuration bool
 	endpoints     bool
@@ -73,29 +74,30 @@
 	}
 }
 
-// update returns what the caller needs now, and for how long the endpoints stay fresh enough to be sent.
+// update returns what the caller needs now, and for how long the state stays fresh enough to be sent.
 //
-// A process that has just become the feeder, or a substitute, feeds only once it has read the
-// configuration too: its followers take theirs for the newest one from then on.
+// The caller takes what it knows for the newest state from then on, also if it is sent nothing. So the feeder must know
+// that of each topic: the answers to the calls for one of them may be lost while others arrive.
 func (fo *Follower) update(boot string, rq FeedRequest) (feedUpdate, time.Duration, error) {
 	now := time.Now()
-	st, age, known := fo.Directory.feedState(now)
+	fr, known := fo.Directory.freshness(now)
+	st := fo.Directory.feedState()
 	st.held, st.standbys = fo.quarantine().Generation(), fo.known.joined(now)
-	up := feedUpdate{update: update{boot: boot, since: unknownGeneration, state: st}}
+	up := feedUpdate{update: update{age: roundUp(fr.age, feedAgeStep), boot: boot, since: unknownGeneration, state: st}}
 	held := rq.Held
 	if rq.Boot != boot {
 		held = 0
 	}
 	up.quarantine = fo.quarantine().Since(held, now)
 	switch {
-	case fo.direct() && known && age <= maxFeedAge && !fo.awaitsOperator.Load():
+	case fo.direct() && known && fr.left >= 0:
 	case len(up.quarantine) > 0, fo.otherHolder() != "":
 		up.stale, up.holder = true, fo.otherHolder()
 		return up, 0, nil
-	case !fo.direct() || !known || age <= maxFeedAge:
+	case !fo.direct() || !known:
 		return up, 0, ErrNotFeeder
 	default:
-		return up, 0, errors.Wrapf(ErrOldEndpoints, "%s", age)
+		return up, 0, errors.Wrapf(ErrOldState, "%s, %s", fr.topic, fr.age)
 	}
 	up.configuration = st.configuration != nil && st.configuration.Version > rq.Version
 	up.holds = st.holds.Version() != rq.Holds
@@ -107,14 +109,14 @@
 	if up.endpoints && rq.Boot == boot && rq.Differences && fo.Directory.coversChanges(rq.Generation) {
 		up.since = rq.Generation
 	}
-	return up, maxFeedAge - age + time.Millisecond, nil
+	return up, fr.left + time.Millisecond, nil
 }
 
 // response returns the response of an update, and whether it is that of the update's state: endpoints
 // may have changed since.
 func (fo *Follower) response(up feedUpdate) (FeedResponse, bool) {
 	re := FeedResponse{
-		Boot: up.boot, Generation: up.state.generation, Held: up.state.held, Quarantine: up.quarantine, Stale: up.stale,
+		Age: up.age, Boot: up.boot, Generation: up.state.generation, Held: up.state.held, Quarantine: up.quarantine, Stale: up.stale,
 	}
 	if up.stale {
 		return FeedResponse{Boot: re.Boot, Held: re.Held, Holder: up.holder, Quarantine: re.Quarantine, Stale: true}, false
@@ -139,10 +141,12 @@
 		re.Endpoints, re.Removed, re.Generation, re.Total = df.changed, df.removed, df.generation, df.total
 		re.Partial, re.Since = true, up.since
 	}
-	now, _, _ := fo.Directory.feedState(time.Now())
-	return re, now.revision == up.state.revision
+	return re, fo.Directory.feedState().revision == up.state.revision
 }
 
+// roundUp rounds a duration up to a multiple of a step.
+func roundUp(du, step time.Duration) time.Duration { return (max(du, 0) + step - 1).Truncate(step) }
+
 // otherHolder returns the address of the process that feeds, if it is known and not this one.
 func (fo *Follower) otherHolder() string {
 	if fo.HolderFunc == nil || fo.DirectFunc == nil || fo.DirectFunc() {
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -19,9 +19,12 @@
 // Settings of following the key-value service.
 const (
 	// followWait is how long one call waits for changes. Calls are billed, but a dead
-	// connection is detected only at the end of the wait.
-	followWait = 10 * time.Second
-	// followSlack is added to followWait for the timeout of a call.
+	// connection is detected only at the end of the wait, and a feeder must confirm each topic
+	// within its maxAge.
+	followWait = 800 * time.Millisecond
+	// ownWait is the same for Own, which nobody is sent.
+	ownWait = 2 * time.Second
+	// followSlack is added to the wait for the timeout of a call.
 	followSlack = time.Second
 	// followPause is the pause after changes, to batch them into one call. Together with the
 	// duration of a call it stays well below the 2 s after which a leaving endpoint must get
@@ -31,9 +34,6 @@
 	retryPause = 250 * time.Millisecond
 	// expireEvery is the interval at which missing endpoints are expired.
 	expireEvery = 100 * time.Millisecond
-	// endpointsWait is how long one call waits for changes of endpoints. It is shorter than
-	// followWait as a feeder must confirm its endpoints within maxFeedAge.
-	endpointsWait = 800 * time.Millisecond
 )
 
 // maxUnreadLogged bounds the undecodable parts of a configuration in one log entry.
@@ -87,7 +87,6 @@
 	// Quarantine tracks requests that crash their endpoints. Nil tracks none.
 	Quarantine *quarantine.Table
 
-	awaitsOperator  atomic.Bool // the operators' keys have yet to be read since the process follows them itself
 	cache           updateCache
 	counts          feedCounters
 	failedReads     int              // of the endpoints, one after the other
@@ -95,9 +94,10 @@
 	known           standbyList      // callers that can feed others
 	lastFeeder      string           // address of the last known feeder
 	old             [topicCount]bool // as logged, see logAges
-	standbys        string           // as last told by the feeder, see standbyList.joined
-	substituteAt    string           // address of the standby that feeds this process in the feeder's place, or ""
-	substitutes     atomic.Bool      // this process feeds others in its feeder's place
+	outages         outageSet
+	standbys        string      // as last told by the feeder, see standbyList.joined
+	substituteAt    string      // address of the standby that feeds this process in the feeder's place, or ""
+	substitutes     atomic.Bool // this process feeds others in its feeder's place
 	emptyQuarantine quarantine.Table
 	unusable        unusableEntries
 }
@@ -107,7 +107,6 @@
 	for ctx.Err() == nil {
 		direct := fo.direct()
 		sub, cancel := context.WithCancel(ctx)
-		fo.awaitsOperator.Store(direct)
 		var wg sync.WaitGroup
 		for _, fn := range fo.tasks(direct) {
 			wg.Go(func() { fn(sub) })
@@ -138,7 +137,7 @@
 	case direct:
 		tasks = append(tasks,
 			prefix(fo.Source.OperatorPrefix, followWait, 0, fo.applyOperator),
-			prefix(fo.Source.EndpointPrefix, endpointsWait, followPause, fo.applyEndpoints),
+			prefix(fo.Source.EndpointPrefix, followWait, followPause, fo.applyEndpoints),
 			prefix(quarantine.Key, followWait, 0, fo.applyQuarantine),
 			fo.followHolds,
 		)
@@ -149,7 +148,7 @@
 		tasks = append(tasks, fo.probeFeeder)
 	}
 	if !direct && fo.Own != "" {
-		tasks = append(tasks, prefix(fo.Own, followWait, 0, fo.applyOperator))
+		tasks = append(tasks, prefix(fo.Own, ownWait, 0, fo.applyOperator))
 	}
 	return tasks
 }
@@ -161,16 +160,20 @@
 
 // recordContact records a contact if the call got a response, even a rejection.
 func (fo *Follower) recordContact(err error) {
-	if err == nil || errors.IsAny(err, keyvalue.ErrHistoryGone, ErrNotFeeder, ErrOldEndpoints) {
+	if err == nil || errors.IsAny(err, keyvalue.ErrHistoryGone, ErrNotFeeder, ErrOldState) {
 		fo.Directory.RecordContact(time.Now())
 	}
 }
 
 // setUnavailable records from the result of a call whether the key-value service is
-// unavailable, and logs a change.
+// unavailable for a prefix, and logs a change. Only calls for endpoints tell whether their entries may
+// have expired in an outage.
 func (fo *Follower) setUnavailable(prefix string, err error) {
 	unavailable := err != nil && !errors.Is(err, keyvalue.ErrHistoryGone)
-	if !fo.Directory.SetUnavailable(unavailable, time.Now()) {
+	if prefix == fo.Source.EndpointPrefix {
+		fo.Directory.SetUnavailable(unavailable, time.Now())
+	}
+	if !fo.outages.set(prefix, unavailable) {
 		return
 	}
 	en := fo.Log.WithFields(logrus.Fields{"dependency": "key-value", "prefix": prefix})
--- a/directory/followfeeder.go
+++ b/directory/followfeeder.go
@@ -103,7 +103,6 @@
 // reregisterGrace, as this process does not call the service itself.
 func (fo *Follower) applyResponse(ctx context.Context, rq FeedRequest, re FeedResponse) error {
 	fo.setUnavailable(fo.Source.EndpointPrefix, nil)
-	fo.Directory.Confirm(TopicOperator, time.Now())
 	fo.setHolds("feeder", re.Holds)
 	if re.Holds != nil && time.Since(fo.holdsCheckedAt) >= holdsCheckPause {
 		fo.holdsCheckedAt = time.Now()
@@ -115,7 +114,14 @@
 	if co := re.Configuration; co != nil && fo.Directory.SetConfiguration(co) {
 		fo.Log.WithFields(logrus.Fields{"from": "feeder", "routes": len(co.Routes), "taken": true, "version": co.Version}).Info("configuration")
 	}
-	return fo.applyEndpointUpdate(rq, re)
+	if err := fo.applyEndpointUpdate(rq, re); err != nil {
+		return err
+	}
+	at := time.Now().Add(-re.Age)
+	for _, to := range Topics() {
+		fo.Directory.Confirm(to, at)
+	}
+	return nil
 }
 
 // applyEndpointUpdate applies the endpoints of a feeder's response.
--- a/directory/holds_test.go
+++ b/directory/holds_test.go
@@ -56,7 +56,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var me keyvalue.Memory
 		di := withEndpoint()
-		di.Confirm(TopicEndpoints, time.Now())
+		confirmAll(di)
 		feeder := &Follower{Directory: di, Log: quiet()}
 		first, err := feeder.feed(t.Context(), FeedRequest{})
 		assert.NilError(t, err)
@@ -66,12 +66,13 @@
 		assert.NilError(t, err)
 		time.AfterFunc(100*time.Millisecond, func() { feeder.applyHolds(t.Context(), []keyvalue.Item{it}, false) })
 		start := time.Now()
-		second, err := feeder.feed(t.Context(), FeedRequest{Boot: "boot", Generation: first.Generation})
+		rq := FeedRequest{Boot: "boot", Generation: first.Generation}
+		second, err := feeder.feed(t.Context(), rq)
 		assert.NilError(t, err)
 		assert.Assert(t, time.Since(start) < 150*time.Millisecond)
 
 		fed := &Follower{Directory: &Directory{}, Log: quiet()}
-		assert.NilError(t, fed.applyResponse(t.Context(), FeedRequest{}, second))
+		assert.NilError(t, fed.applyResponse(t.Context(), rq, second))
 		_, held := fed.Directory.Holds().Customer("bakery")
 		assert.Assert(t, held)
 		assert.NilError(t, fed.applyResponse(t.Context(), FeedRequest{}, first)) // a delayed response
@@ -210,12 +211,13 @@
 		fed.readHolds(t.Context())
 		assert.Assert(t, isHeld(fed, "bakery"))
 		call := func() {
-			feeder.Directory.Confirm(TopicEndpoints, time.Now())
+			confirmAll(feeder.Directory)
 			start := time.Now()
-			re, err := feeder.feed(t.Context(), FeedRequest{Boot: "boot", Generation: 1, Holds: fed.Directory.Holds().Version()})
+			rq := FeedRequest{Boot: "boot", Generation: 1, Holds: fed.Directory.Holds().Version()}
+			re, err := feeder.feed(t.Context(), rq)
 			assert.NilError(t, err)
 			assert.Assert(t, re.Fresh || time.Since(start) >= feedWait, "older holds are no update")
-			assert.NilError(t, fed.applyResponse(t.Context(), FeedRequest{}, re))
+			assert.NilError(t, fed.applyResponse(t.Context(), rq, re))
 		}
 		call()
 		assert.Assert(t, isHeld(fed, "bakery"), "the feeder lags behind")
--- a/directory/nofeeder.go
+++ b/directory/nofeeder.go
@@ -38,6 +38,7 @@
 // notice its return, and calls of all entries would add to the service's load.
 func (fo *Follower) readDirectly(ctx context.Context, fb *feedFallback) time.Duration {
 	fo.counts.reads.Add(1)
+	called := time.Now()
 	ch, err := fo.scanEndpoints(ctx)
 	fo.recordContact(err)
 	fo.setUnavailable(fo.Source.EndpointPrefix, err)
@@ -49,6 +50,7 @@
 	}
 	fo.failedReads = 0
 	fo.applyEndpoints(ch.Items, true)
+	fo.Directory.Confirm(TopicEndpoints, called)
 	fo.readQuarantine(ctx)
 	fb.begin(ctx, fo)
 	return scanPause
--- a/directory/prefix.go
+++ b/directory/prefix.go
@@ -12,51 +12,91 @@
 	"wisteriacroft/quarantine"
 )
 
+// A prefixCall is one call about a prefix: a scan, or a long poll for changes.
+type prefixCall struct {
+	after  int64 // the version that a long poll continues from
+	called time.Time
+	prefix string
+	scan   bool
+	wait   time.Duration // of a long poll
+}
+
 // Prefix scans a prefix and follows its changes until ctx ends. Apply is called with a complete
 // listing (true) first and after the history was lost or the revision went back, and with
 // changes (false) otherwise.
 func (fo *Follower) Prefix(
 	ctx context.Context, prefix string, wait, pause time.Duration, apply func([]keyvalue.Item, bool),
 ) {
-	var after int64
-	scan := true
+	pc := prefixCall{prefix: prefix, scan: true, wait: wait}
 	for ctx.Err() == nil {
-		ch, err := fo.next(ctx, prefix, after, scan, wait)
+		pc.called = time.Now()
+		ch, err := fo.callPrefix(ctx, pc)
 		if ctx.Err() != nil {
 			return
 		}
-		fo.recordContact(err)
-		fo.setUnavailable(prefix, err)
-		if errors.Is(err, keyvalue.ErrHistoryGone) {
-			fo.Log.WithFields(logrus.Fields{"prefix": prefix, "after": after}).Info("history lost, scanning again")
-			scan = true
-			continue
-		}
-		if err != nil {
-			sleep(ctx, retryPause)
-			continue
-		}
-		if back := ch.Version < after; back && !scan {
-			// After a restore from an older backup, no changes would be reported until the
-			// revision is as high again.
-			fo.Log.WithFields(logrus.Fields{"prefix": prefix, "after": after, revisionField: ch.Version}).Warn("revision decreased, scanning again")
-			scan = true
-			sleep(ctx, retryPause)
+		if !fo.usable(ctx, &pc, ch, err) {
 			continue
 		}
-		if scan || len(ch.Items) > 0 {
-			apply(ch.Items, scan)
+		changed := pc.scan || len(ch.Items) > 0
+		if changed {
+			apply(ch.Items, pc.scan)
 		}
+		at := pc.confirmedAt(ch, time.Now())
 		if to, ok := fo.topic(prefix); ok {
-			fo.Directory.Confirm(to, time.Now())
+			fo.Directory.Confirm(to, at)
 		}
-		if prefix == fo.Source.OperatorPrefix || prefix == fo.Source.ConfigurationKey {
-			fo.awaitsOperator.Store(false)
-		}
-		if scan || len(ch.Items) > 0 {
+		if changed {
 			sleep(ctx, pause)
 		}
-		after, scan = ch.Version, false
+		pc.after, pc.scan = ch.Version, false
+		pc.wait = max(0, wait-elapsed(at, time.Now()))
+	}
+}
+
+// callPrefix makes a call. Its timeout bounds how long a connection that has gone silent delays changes.
+func (fo *Follower) callPrefix(ctx context.Context, pc prefixCall) (keyvalue.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, pc.wait+followSlack)
+	defer cancel()
+	if pc.scan {
+		return fo.Client.Scan(ctx, pc.prefix)
+	}
+	return fo.Client.Follow(ctx, pc.prefix, pc.after, pc.wait)
+}
+
+// usable records the result of a call, and reports whether its changes can be applied. If not, it sets the next call, and
+// pauses unless the history was lost.
+func (fo *Follower) usable(ctx context.Context, pc *prefixCall, ch keyvalue.Changes, err error) bool {
+	fo.recordContact(err)
+	fo.setUnavailable(pc.prefix, err)
+	lo := fo.Log.WithFields(logrus.Fields{"prefix": pc.prefix, "after": pc.after})
+	switch {
+	case errors.Is(err, keyvalue.ErrHistoryGone):
+		lo.Info("history lost, scanning again")
+		pc.scan = true
+		return false
+	case err == nil && (pc.scan || ch.Version >= pc.after):
+		return true
+	case err == nil:
+		// After a restore from an older backup, no changes would be reported until the
+		// revision is as high again.
+		lo.WithField(revisionField, ch.Version).Warn("revision decreased, scanning again")
+		pc.scan = true
+	}
+	sleep(ctx, retryPause)
+	return false
+}
+
+// confirmedAt returns the latest time at which the state of a response is known to have been the newest one: that of the
+// call, or the end of its wait if nothing changed. After that the response may have been held up on its way.
+func (pc prefixCall) confirmedAt(ch keyvalue.Changes, now time.Time) time.Time {
+	end := pc.called.Add(pc.wait)
+	switch {
+	case pc.scan || len(ch.Items) > 0:
+		return pc.called
+	case end.After(now): // the service did not wait so long
+		return now
+	default:
+		return end
 	}
 }
 
@@ -75,14 +115,3 @@
 		return 0, false
 	}
 }
-
-func (fo *Follower) next(
-	ctx context.Context, prefix string, after int64, scan bool, wait time.Duration,
-) (keyvalue.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+followSlack)
-	defer cancel()
-	if scan {
-		return fo.Client.Scan(ctx, prefix)
-	}
-	return fo.Client.Follow(ctx, prefix, after, wait)
-}
--- a/directory/quarantine.go
+++ b/directory/quarantine.go
@@ -42,8 +42,12 @@
 func (fo *Follower) readQuarantine(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, scanTimeout)
 	defer cancel()
+	called := time.Now()
 	it, err := fo.Client.Get(ctx, quarantine.Key)
 	fo.recordContact(err)
+	if err == nil || errors.Is(err, keyvalue.ErrNotFound) {
+		fo.Directory.Confirm(TopicQuarantine, called)
+	}
 	switch {
 	case err == nil:
 		fo.applyQuarantine([]keyvalue.Item{it}, true)
--- a/directory/quarantine_test.go
+++ b/directory/quarantine_test.go
@@ -19,7 +19,7 @@
 	// the quarantine record.
 	synctest.Test(t, func(t *testing.T) {
 		di := withEndpoint()
-		di.Confirm(TopicEndpoints, time.Now())
+		confirmAll(di)
 		feeder := &Follower{Directory: di, Quarantine: &quarantine.Table{}}
 		first, err := feeder.feed(t.Context(), FeedRequest{})
 		assert.NilError(t, err)
@@ -62,7 +62,7 @@
 		// Once it is a feeder again, it sends the endpoints, but no records that were
 		// already sent.
 		last.DirectFunc = nil
-		last.Directory.Confirm(TopicEndpoints, time.Now())
+		confirmAll(last.Directory)
 		fed, err := last.feed(t.Context(), FeedRequest{Boot: "boot", Generation: unknownGeneration, Held: received.Held})
 		assert.NilError(t, err)
 		assert.Assert(t, fed.Fresh && !fed.Stale && len(fed.Quarantine) == 0)
--- a/directory/standbys_test.go
+++ b/directory/standbys_test.go
@@ -14,7 +14,7 @@
 func TestStandbysAreNamed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		di := withEndpoint()
-		di.Confirm(TopicEndpoints, time.Now())
+		confirmAll(di)
 		feeder := &Follower{Directory: di, Log: quiet()}
 		for _, address := range []string{"10.0.0.2:1", "10.0.0.1:1", ""} {
 			_, err := feeder.feed(t.Context(), FeedRequest{Address: address})
@@ -27,7 +27,7 @@
 		assert.Equal(t, fd.standbys, "10.0.0.1:1 10.0.0.2:1")
 
 		time.Sleep(standbyTTL + time.Millisecond)
-		di.Confirm(TopicEndpoints, time.Now())
+		confirmAll(di)
 		re, err = feeder.feed(t.Context(), FeedRequest{Standbys: hashStandbys(fd.standbys)})
 		assert.NilError(t, err)
 		assert.NilError(t, fd.applyResponse(t.Context(), FeedRequest{}, re))
@@ -55,7 +55,7 @@
 func TestFormerFeederNamesItsSuccessor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		di := withEndpoint()
-		di.Confirm(TopicEndpoints, time.Now())
+		confirmAll(di)
 		leads := false
 		fo := &Follower{
 			DirectFunc: func() bool { return leads }, Directory: di, HolderFunc: func() string { return "10.0.0.9:1" }, Log: quiet(),
--- a/directory/topic_test.go
+++ b/directory/topic_test.go
@@ -82,9 +82,9 @@
 		before time.Duration // from the start to the silence
 		err    error         // of the feed in the silence
 	}{
-		{"operator", "op/", 5 * time.Second, ErrOldEndpoints},
-		{"holds", hold.Key, 5 * time.Second, ErrOldEndpoints},
-		{"quarantine", quarantine.Key, 5 * time.Second, ErrOldEndpoints},
+		{"operator", "op/", 5 * time.Second, ErrOldState},
+		{"holds", hold.Key, 5 * time.Second, ErrOldState},
+		{"quarantine", quarantine.Key, 5 * time.Second, ErrOldState},
 		{"operator from the start", "op/", 0, ErrNotFeeder},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -148,3 +148,59 @@
 		})
 	}
 }
+
+// Guards against an entry that takes its configuration for the newest because a feeder responds: what counts is when the
+// feeder knew that, and how long the response was on its way.
+func TestAgeIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feeder := &Follower{Directory: withEndpoint(), Log: quiet()}
+		confirmAll(feeder.Directory)
+		time.Sleep(maxEndpointAge - feedAgeStep/2)
+		re, err := feeder.feed(t.Context(), FeedRequest{})
+		assert.NilError(t, err)
+		assert.Equal(t, re.Age, maxEndpointAge)
+		fed := &Follower{Directory: &Directory{}, Log: quiet()}
+		assert.NilError(t, fed.applyResponse(t.Context(), FeedRequest{}, re))
+		age, known := fed.Directory.Age(TopicOperator, time.Now())
+		assert.Assert(t, known)
+		assert.Equal(t, age, re.Age)
+		time.Sleep(configurationTimeout - re.Age - time.Millisecond)
+		assert.Assert(t, !fed.Directory.ConfigurationStale(time.Now()))
+		time.Sleep(time.Millisecond)
+		assert.Assert(t, fed.Directory.ConfigurationStale(time.Now()))
+	})
+}
+
+// Guards against state that counts as new though its response was held up, or the process was suspended before reading it.
+func TestConfirmedAt(t *testing.T) {
+	called := time.Now()
+	changes := keyvalue.Changes{Items: []keyvalue.Item{{Key: "op/config"}}}
+	for _, tc := range []struct {
+		name    string
+		pc      prefixCall
+		ch      keyvalue.Changes
+		took    time.Duration
+		atAfter time.Duration // from the call to the time of the confirmed state
+	}{
+		{"scan", prefixCall{scan: true}, changes, time.Second, 0},
+		{"changes", prefixCall{wait: followWait}, changes, time.Second, 0},
+		{"no changes", prefixCall{wait: followWait}, keyvalue.Changes{}, followWait + time.Millisecond, followWait},
+		{"no changes, held up", prefixCall{wait: followWait}, keyvalue.Changes{}, 5 * time.Second, followWait},
+		{"no changes, answered early", prefixCall{wait: followWait}, keyvalue.Changes{}, time.Millisecond, time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			tc.pc.called = called
+			at := tc.pc.confirmedAt(tc.ch, called.Add(tc.took))
+			assert.Equal(t, at.Sub(called), tc.atAfter)
+		})
+	}
+}
+
+// Guards against an age that does not count the time in which an instance was suspended.
+func TestElapsed(t *testing.T) {
+	from := time.Now()
+	const ran = 100 * time.Millisecond
+	wall := func(du time.Duration) time.Time { return from.Round(0).Add(du) }
+	assert.Equal(t, elapsed(from, from.Add(ran)), ran)
+	assert.Equal(t, elapsed(from, wall(5*time.Second)), 5*time.Second)
+}
