Directory: entries without a feeder have news within 3 s after the store is back

Such an entry paused 2 to 6 s after failed reads, since a feeder would notice the store's return. The pause is now 0.7 to 2.1 s.

--- a/directory/nofeeder.go
+++ b/directory/nofeeder.go
@@ -21,9 +21,10 @@
 	// scanTimeout bounds one. Together they stay below contactTimeout.
 	scanPause   = 500 * time.Millisecond
 	scanTimeout = 800 * time.Millisecond
-	// maxReadPause bounds the pause after scans that failed, and maxReadDoublings how often it doubles.
-	maxReadPause     = 4 * time.Second
-	maxReadDoublings = 3
+	// maxReadPause bounds the pause after scans that failed, and maxReadDoublings how often it doubles. With
+	// jitter and a call, the process has news within 3 s after the service is back.
+	maxReadPause     = 1400 * time.Millisecond
+	maxReadDoublings = 2
 )
 
 // staleOffset returns the time within staleReadSpread at which this process makes its stale read.
@@ -34,8 +35,8 @@
 // readDirectly reads from the key-value service for a process without a feeder, and returns the pause
 // until the next read.
 //
-// While the service is away, the pause grows and the configuration isn't followed: a feeder will
-// notice its return, and calls of all entries would add to the service's load.
+// While the service is away, the pause grows and the configuration isn't followed: calls of all
+// entries would add to the service's load.
 func (fo *Follower) readDirectly(ctx context.Context, fb *feedFallback) time.Duration {
 	fo.counts.reads.Add(1)
 	called := time.Now()
