Directory: a response without endpoints counts only for the generation that was asked for

'Nothing changed' was taken whatever generation the follower had: a response to an earlier request left a follower that had read by itself in between with its own endpoints for good. The program matches responses to requests, so that no caller is known to have seen it.

--- a/directory/followfeeder.go
+++ b/directory/followfeeder.go
@@ -129,7 +129,9 @@
 	switch {
 	case re.Fresh:
 		fo.Directory.replaceEndpoints(re.Endpoints)
+	case !re.Partial && re.Boot == rq.Boot && re.Generation == rq.Generation: // nothing changed
 	case !re.Partial:
+		return errors.Wrap(errGap, "the endpoints are of another generation")
 	case re.Boot != rq.Boot || re.Since != rq.Generation:
 		return errors.Wrap(errGap, "they follow another generation")
 	case !fo.Directory.applyDifferences(differences{changed: re.Endpoints, removed: re.Removed, total: re.Total}):
