Forward: no final answer by a configuration that may be old

A route that was missing got 404 at once, and a body over the limit 413, also from an entry that did not know its configuration to be the newest one: callers don't repeat either. As for unknown keys, such requests now get 503 with a time to come back while the configuration is not known to have been the newest within 2 s. Tests whose entry is in contact say so now: they confirm its configuration.

--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -195,6 +195,7 @@
 
 func TestRejections(t *testing.T) {
 	de := deploy(t, directory.Route{Kind: directory.Repeatable, MaxAttempts: 2}, succeeding)
+	de.forwarder.Directory.Confirm(directory.TopicOperator, time.Now().Add(time.Hour)) // the configuration stays new
 	for _, tc := range []struct {
 		name   string
 		change func(rq *http.Request)
--- a/forward/request.go
+++ b/forward/request.go
@@ -108,7 +108,7 @@
 	}
 	ro, ok := co.Route(hr.Host, hr.URL.Path)
 	if !ok {
-		return nil, &rejection{reason: "no route", status: http.StatusNotFound}
+		return nil, ruledOut(fo.Directory, "no route", http.StatusNotFound)
 	}
 	gr := fo.access().Check(co, ro.Public, hr.Header)
 	if gr.Outcome != access.Allowed {
@@ -155,16 +155,30 @@
 	if errors.Is(err, errMemoryLimit) {
 		return fo.memory.rejection(rq.customer)
 	}
-	return &rejection{reason: err.Error(), status: BodyStatus(err)}
+	return bodyRejection(fo.Directory, err)
 }
 
-// BodyStatus returns the HTTP status for an error of ReadBody.
-func BodyStatus(err error) int {
+// bodyRejection returns the rejection for an error of ReadBody.
+func bodyRejection(di *directory.Directory, err error) *rejection {
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
-		return http.StatusRequestEntityTooLarge
+		return ruledOut(di, err.Error(), http.StatusRequestEntityTooLarge)
 	}
-	return http.StatusBadRequest
+	return &rejection{reason: err.Error(), status: http.StatusBadRequest}
+}
+
+// RefuseBody answers a request after an error of ReadBody.
+func RefuseBody(rw http.ResponseWriter, di *directory.Directory, err error) {
+	bodyRejection(di, err).answer(rw)
+}
+
+// ruledOut returns the rejection of a request that the configuration does not allow. Callers treat the status as
+// final, so while a newer configuration may exist they are told to come back instead.
+func ruledOut(di *directory.Directory, reason string, status int) *rejection {
+	if di.ConfigurationStale(time.Now()) {
+		return &rejection{reason: reason + ", configuration may be old", retryAfter: configurationRetry, status: http.StatusServiceUnavailable}
+	}
+	return &rejection{reason: reason, status: status}
 }
 
 // ReadBody reads a request's body of at most limit bytes; 0 means no limit.
