--- a/standin/caller.go
+++ b/standin/caller.go
@@ -41,8 +41,9 @@
 	P50                   unit.Duration        `json:"p50"` // of complete responses
 	P99                   unit.Duration        `json:"p99"`
 	Refused               map[outcome.Code]int `json:"refused"`
-	Unsent                int                  `json:"unsent"` // maxInFlight was reached
-	Whole                 int                  `json:"whole"`  // complete responses
+	RefusedBy             string               `json:"refused-by,omitempty"` // like BrokenBy
+	Unsent                int                  `json:"unsent"`               // maxInFlight was reached
+	Whole                 int                  `json:"whole"`                // complete responses
 }
 
 // errMismatchedResponse means that a caller got the response of another request.
@@ -58,6 +59,11 @@
 func (lc liveCall) path() string   { return "/calls/" + lc.id }
 func (lc liveCall) prompt() string { return "live call " + lc.id }
 
+// failure describes how a call failed, with its id.
+func (lc liveCall) failure(took time.Duration, err error) string {
+	return fmt.Sprintf("%s after %s: %v", lc.id, took.Round(time.Millisecond), err)
+}
+
 // maxDials is how many entries an attempt may dial.
 const maxDials = 3
 
@@ -175,12 +181,13 @@
 		ca.sum.Crossed++
 	case errors.As(err, &re):
 		ca.sum.Refused[re.Code]++
+		ca.sum.RefusedBy = cmp.Or(ca.sum.RefusedBy, lc.failure(took, err))
 		if re.Outcome() == outcome.NotRun && overall == outcome.NotRun {
 			ca.notRun = append(ca.notRun, lc)
 		}
 	default:
 		ca.sum.Broken++
-		ca.sum.BrokenBy = cmp.Or(ca.sum.BrokenBy, fmt.Sprintf("%s after %s: %v", lc.id, took.Round(time.Millisecond), err))
+		ca.sum.BrokenBy = cmp.Or(ca.sum.BrokenBy, lc.failure(took, err))
 	}
 }
 
--- a/standin/trainer_test.go
+++ b/standin/trainer_test.go
@@ -150,7 +150,8 @@
 	ca.recordResult(liveCall{id: "e", repeatable: true}, errMismatchedResponse, outcome.Unknown, 0)
 	ca.compareWith(Counts{Paths: map[string]int{"/calls/a": 1, "/calls/c": 1, "/calls/d": 2, "/calls/e": 2}})
 	assert.DeepEqual(t, ca.sum, CallerSummary{
-		Calls: 5, Crossed: 1, NotRepeatableRunTwice: 1, NotRunButRan: 1, Refused: map[outcome.Code]int{outcome.Overloaded: 3}, Whole: 1,
+		Calls: 5, Crossed: 1, NotRepeatableRunTwice: 1, NotRunButRan: 1, Refused: map[outcome.Code]int{outcome.Overloaded: 3},
+		RefusedBy: "a after 0s: overloaded: ", Whole: 1,
 	})
 }
 
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"regexp"
 	"strings"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -17,16 +18,51 @@
 // varies matches the numbers that differ between runs.
 var varies = regexp.MustCompile(`"(calls|answers-whole|trainer-idle-ratio|staleness-mean)":[0-9.e-]+`)
 
+// callID matches the id of a call.
+var callID = regexp.MustCompile(`[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}`)
+
+// A logBuffer collects the log lines of a trial's processes.
+type logBuffer struct {
+	failed string // what the trial reports as violated
+	mu     sync.Mutex
+	lines  []string
+}
+
+// Write implements io.Writer. Each call writes one line.
+func (lb *logBuffer) Write(data []byte) (int, error) {
+	lb.mu.Lock()
+	defer lb.mu.Unlock()
+	lb.lines = append(lb.lines, string(data))
+	return len(data), nil
+}
+
+// printCalls prints the lines about the calls that the trial reports as failed.
+func (lb *logBuffer) printCalls(t *testing.T) {
+	t.Helper()
+	lb.mu.Lock()
+	defer lb.mu.Unlock()
+	for _, id := range callID.FindAllString(lb.failed, -1) {
+		for _, line := range lb.lines {
+			if strings.Contains(line, id) {
+				t.Log(line)
+			}
+		}
+	}
+}
+
 // TestRun runs a step of each deployment while operators change profiles.
 func TestRun(t *testing.T) {
 	for _, name := range Deployments() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			var log logBuffer
+			t.Cleanup(func() { log.printCalls(t) })
 			sum, err := Run(t.Context(), Options{
-				Deployments: []string{name}, Faults: []FaultName{RaceOperators}, Seed: 1, Steps: 1,
+				Deployments: []string{name}, Faults: []FaultName{RaceOperators}, Log: &log, Seed: 1, Steps: 1,
 			})
 			assert.NilError(t, err)
-			assert.Equal(t, strings.Join(sum.Broken(), "\n"), "")
+			log.failed = strings.Join(sum.Broken(), "\n")
+			assert.Equal(t, log.failed, "")
 			assert.Equal(t, sum.AnswersWhole, sum.Calls)
 			data, err := json.Marshal(sum)
 			assert.NilError(t, err)
--- a/trial/verdict.go
+++ b/trial/verdict.go
@@ -72,18 +72,22 @@
 		return fmt.Sprintf("%s made no call", ca.Name)
 	case expected == allWhole && ca.Whole < ca.Calls:
 		return fmt.Sprintf("%s got %d whole answers to %d calls: broken %d, crossed %d, refused %v%s",
-			ca.Name, ca.Whole, ca.Calls, ca.Broken, ca.Crossed, ca.Refused, brokenBy(ca))
+			ca.Name, ca.Whole, ca.Calls, ca.Broken, ca.Crossed, ca.Refused, firstFailures(ca))
 	case expected < someBroken && ca.Broken > 0:
-		return fmt.Sprintf("%s got no answer to %d of %d calls%s", ca.Name, ca.Broken, ca.Calls, brokenBy(ca))
+		return fmt.Sprintf("%s got no answer to %d of %d calls%s", ca.Name, ca.Broken, ca.Calls, firstFailures(ca))
 	default:
 		return ""
 	}
 }
 
-// brokenBy describes how the first broken call of a caller ended, if known.
-func brokenBy(ca standin.CallerSummary) string {
-	if ca.BrokenBy == "" {
-		return ""
+// firstFailures describes how the first broken and the first refused call of a caller ended, if known.
+func firstFailures(ca standin.CallerSummary) string {
+	var text string
+	if ca.BrokenBy != "" {
+		text += ", the first broken " + ca.BrokenBy
+	}
+	if ca.RefusedBy != "" {
+		text += ", the first refused " + ca.RefusedBy
 	}
-	return ", the first " + ca.BrokenBy
+	return text
 }
