Step: red tests of an item that ends its engines

After its cooldown of 4 s it is no longer tried alone, as it has waited longer than the 2 s for a trial: 6 engines, 4 are due when three ended in a true wave.

--- a/step/trial_test.go
+++ b/step/trial_test.go
@@ -1,6 +1,7 @@
 package step
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -171,3 +172,71 @@
 		assert.Assert(t, !ta.needsTrial(ir, at) && !ta.quarantined(ir, at))
 	}
 }
+
+// A deadlyItem is an item that ends each engine that runs it, in a simulation of engines that are down for a while after.
+type deadlyItem struct {
+	alone bool // nothing else ran on the engine that ended last
+	back  map[string]time.Time
+	down  time.Duration
+	ends  int
+	item  *itemRow
+	wave  int // ends with which all other engines end too
+}
+
+// run runs a table with the item for a while.
+func (de *deadlyItem) run(ta *Table, ids []string, length time.Duration) {
+	de.back = map[string]time.Time{}
+	for at := begin; at.Before(begin.Add(length)); at = at.Add(100 * time.Millisecond) {
+		for id, en := range ta.engines {
+			en.unreachable = at.Before(de.back[id])
+		}
+		ta.Place(at)
+		deadly := ta.engines[de.item.run.engineID]
+		ended := de.item.state == running
+		if ended {
+			de.ends++
+			de.alone = len(deadly.items) == 1
+			de.back[deadly.id] = at.Add(de.down)
+		}
+		respondAll(ta, ids, at, 15, func(en *engineRow) bool { return ended && (en == deadly || de.ends <= de.wave) })
+	}
+}
+
+func idsOf(count int) []string {
+	var ids []string
+	for i := range count {
+		ids = append(ids, fmt.Sprint("engine-", i))
+	}
+	return ids
+}
+
+// Guards against an item whose own ends of engines are taken for a wave of crashes with another cause: it took six engines.
+func TestItemThatEndsItsEnginesIsNoWave(t *testing.T) {
+	for _, engines := range []int{4, 5, 6, 8, 12} {
+		t.Run(fmt.Sprint(engines, " engines"), func(t *testing.T) {
+			ids := idsOf(engines)
+			ta := tableOf(t, 1, ids...)
+			ta.Accept(stepOf("s", 4, 4), StoredStep{}, false, begin)
+			items := ta.steps["s"].items
+			de := &deadlyItem{down: 700 * time.Millisecond, item: items[2]}
+			de.run(ta, ids, 20*time.Second)
+			assert.Assert(t, de.ends <= 3, "it took %d engines", de.ends)
+			assert.Assert(t, ta.quarantined(de.item, begin.Add(time.Hour)), "it is barred")
+			for _, ir := range items {
+				assert.Equal(t, ir.state == complete, ir != de.item, "%s", ir.item.ID)
+			}
+		})
+	}
+}
+
+// Guards against an item that is placed beside others after its cooldown, in which it had to wait longer than for a trial.
+func TestItemIsTriedAloneAfterItsCooldown(t *testing.T) {
+	ids := idsOf(6)
+	ta := tableOf(t, 1, ids...)
+	ta.Accept(stepOf("s", 4, 4, 4, 4), StoredStep{}, false, begin)
+	de := &deadlyItem{item: ta.steps["s"].items[2], wave: 3}
+	de.run(ta, ids, 20*time.Second)
+	assert.Equal(t, de.ends, 4, "the first three count as a wave")
+	assert.Assert(t, de.alone)
+	assert.Assert(t, ta.quarantined(de.item, begin.Add(time.Hour)), "it is barred")
+}
