Step: the engines that an item ends itself are no wave of crashes

Trainers lost engines one after the other: an item that ends each engine took up to seven, three are allowed. When two engines have ended under it, it is tried alone, and the end of a third bars it, unless two others ended within a second: then a common cause is assumed. The two under the item itself were counted as others, so that it got one strike of six, as often as the trial ran on a third engine before the first was back. Only engines that did not run the item count now.

--- a/step/trial.go
+++ b/step/trial.go
@@ -40,10 +40,16 @@
 // value is ready to use.
 type trials struct {
 	byEngine map[string]*itemRow
-	ends     map[string]time.Time      // recent ends of engines
+	ends     map[string]engineEnd      // recent ends of engines
 	young    map[quarantine.Digest]int // engines that ended during young runs, by item
 }
 
+// An engineEnd is the last end of an engine.
+type engineEnd struct {
+	at    time.Time
+	items map[quarantine.Digest]bool // that ran there
+}
+
 // start records that an engine tries an item.
 func (tr *trials) start(engine string, ir *itemRow) {
 	if tr.byEngine == nil {
@@ -76,14 +82,26 @@
 	return count
 }
 
-// recordEnd records the end of an engine, and returns how many others ended within crashWaveTime.
-func (tr *trials) recordEnd(engine string, now time.Time) int {
+// recordEnd records the end of an engine that ran an item, and returns how many engines that did not run it ended within
+// crashWaveTime. Those that ran it may have ended because of it, and don't show that there is another cause.
+func (tr *trials) recordEnd(engine string, di quarantine.Digest, now time.Time) int {
+	maps.DeleteFunc(tr.ends, func(_ string, ee engineEnd) bool { return now.Sub(ee.at) > crashWaveTime })
 	if tr.ends == nil {
-		tr.ends = map[string]time.Time{}
+		tr.ends = map[string]engineEnd{}
+	}
+	ee := tr.ends[engine]
+	if ee.items == nil {
+		ee.items = map[quarantine.Digest]bool{}
+	}
+	ee.at, ee.items[di] = now, true
+	tr.ends[engine] = ee
+	others := 0
+	for _, ee := range tr.ends {
+		if !ee.items[di] {
+			others++
+		}
 	}
-	tr.ends[engine] = now
-	maps.DeleteFunc(tr.ends, func(_ string, at time.Time) bool { return now.Sub(at) > crashWaveTime })
-	return len(tr.ends) - 1
+	return others
 }
 
 // recordYoung records that an engine ended during a young run of an item.
@@ -106,7 +124,7 @@
 	if !pr.EngineEnded {
 		return
 	}
-	others := ta.trials.recordEnd(ir.run.engineID, now)
+	others := ta.trials.recordEnd(ir.run.engineID, ir.digest, now)
 	weight, tried, young := 1, ta.trials.byEngine[ir.run.engineID] == ir, ir.young(now)
 	if young {
 		ta.trials.recordYoung(ir.digest)
