Step: an item waits for its trial from when it could be placed

After three strikes an item rests for 4 s, and after 2 s of waiting a suspect is placed beside others again: so after each rest it was, and ended the others' runs with its engine until its sixth strike. The wait counts from the first placement that it could have had; a cooldown or an operator's hold begins it anew.

--- a/step/row.go
+++ b/step/row.go
@@ -43,6 +43,7 @@
 	run           run       // if running
 	moveTarget    string    // engine with a reserved slot while the item moves
 	avoidedEngine string    // engine that the last run was on
+	trialAskedAt  time.Time // when it first waited for a trial in this state; before stateSince if it has not
 }
 
 // A run is the run of an item on an engine.
--- a/step/trial.go
+++ b/step/trial.go
@@ -149,9 +149,13 @@
 	return ta.quarantine.CheckItem(ir.digest, now).Held()
 }
 
-// needsTrial reports whether an item must be tried alone.
+// needsTrial reports whether an item must be tried alone. It waits for a trial from the first time that it could have been
+// placed: the time in a cooldown or a hold doesn't count.
 func (ta *Table) needsTrial(ir *itemRow, now time.Time) bool {
-	return ta.trials.young[ir.digest] >= minSuspectEnds && now.Sub(ir.stateSince) < maxTrialWait
+	if ta.trials.young[ir.digest] < minSuspectEnds {
+		return false
+	}
+	return ir.trialAskedAt.Before(ir.stateSince) || now.Sub(ir.trialAskedAt) < maxTrialWait
 }
 
 // trialEngine returns the engine for a trial of an item, or nil: the one with the fewest runs.
