Step: the wait for a trial counts from the end of a cooldown, in both ways of placing

The time is now worked out from what is known: the quarantine tells when an item's last cooldown ended, the step when an operator held or released it.

--- a/quarantine/row.go
+++ b/quarantine/row.go
@@ -43,5 +43,9 @@
 	}
 	// Bounded, as the clock of the process that saw the crash may be ahead.
 	held := min(hold-now.Sub(time.UnixMilli(last)), hold)
-	return Verdict{HeldFor: max(held, 0), Strikes: crashes}
+	ve := Verdict{HeldFor: max(held, 0), Strikes: crashes}
+	if hold > 0 && held <= 0 {
+		ve.FreeSince = time.UnixMilli(last).Add(hold)
+	}
+	return ve
 }
--- a/step/hold.go
+++ b/step/hold.go
@@ -21,6 +21,7 @@
 		if was == is {
 			continue
 		}
+		sr.holdChangedAt = now
 		waits := 0
 		for _, ir := range sr.items {
 			if ir.state == waiting {
--- a/step/placement.go
+++ b/step/placement.go
@@ -48,15 +48,11 @@
 func (pl *placement) assign(ir *itemRow) {
 	ta := pl.table
 	if ta.held(ir) || ta.quarantined(ir, pl.now) {
-		ir.trialAskedAt = time.Time{}
 		return
 	}
 	target := ta.engines[ir.moveTarget]
 	pl.releaseReserved(ir)
 	if ta.needsTrial(ir, pl.now) {
-		if ir.trialAskedAt.Before(ir.stateSince) {
-			ir.trialAskedAt = pl.now
-		}
 		if en := ta.trialEngine(ir, pl.now); en != nil {
 			ta.trials.start(en.id, ir)
 			pl.startRun(ir, pl.indexOf(en))
--- a/step/row.go
+++ b/step/row.go
@@ -43,7 +43,6 @@
 	run           run       // if running
 	moveTarget    string    // engine with a reserved slot while the item moves
 	avoidedEngine string    // engine that the last run was on
-	trialAskedAt  time.Time // when it first waited for a trial in this state; before stateSince if it has not
 }
 
 // A run is the run of an item on an engine.
@@ -75,6 +74,7 @@
 
 // A stepRow is a step and its progress.
 type stepRow struct {
+	holdChangedAt      time.Time // when an operator held or released it
 	seenAt             time.Time // when this scheduler first saw the step
 	step               *Step
 	ended              bool
--- a/step/trial.go
+++ b/step/trial.go
@@ -149,13 +149,19 @@
 	return ta.quarantine.CheckItem(ir.digest, now).Held()
 }
 
-// needsTrial reports whether an item must be tried alone. It waits for a trial from the first time that it could have been
-// placed: the time in a cooldown or a hold doesn't count.
+// needsTrial reports whether an item must be tried alone. Its wait for a trial counts from when it could be placed: a
+// cooldown or an operator's hold is no part of it.
 func (ta *Table) needsTrial(ir *itemRow, now time.Time) bool {
 	if ta.trials.young[ir.digest] < minSuspectEnds {
 		return false
 	}
-	return ir.trialAskedAt.Before(ir.stateSince) || now.Sub(ir.trialAskedAt) < maxTrialWait
+	since := ir.stateSince
+	for _, at := range []time.Time{ta.quarantine.CheckItem(ir.digest, now).FreeSince, ir.step.holdChangedAt} {
+		if at.After(since) {
+			since = at
+		}
+	}
+	return now.Sub(since) < maxTrialWait
 }
 
 // trialEngine returns the engine for a trial of an item, or nil: the one with the fewest runs.
