Step: an item that moves when its engine ends keeps its cooldown

An item that was about to move to another engine as its own ended started there at once, whatever its strikes: one engine more. It was found by looking for other ways past the quarantine. TestMovedItemKeepsItsCooldown fails without the mend (one engine started).

--- a/step/table.go
+++ b/step/table.go
@@ -310,6 +310,10 @@
 func (ta *Table) restartStopped(now time.Time) []string {
 	var engines []string
 	for _, ir := range ta.stoppedItems {
+		if ir.state == waiting && ta.quarantined(ir, now) {
+			ta.releaseReserved(ir)
+			continue
+		}
 		en := ta.engines[ir.moveTarget]
 		if ir.state != waiting || en == nil || ta.awaitingEngines(now) || ta.needsTrial(ir, now) || ta.trials.runsTrial(en.id, now) {
 			continue
--- a/step/trial_test.go
+++ b/step/trial_test.go
@@ -240,3 +240,21 @@
 	assert.Assert(t, de.alone)
 	assert.Assert(t, ta.quarantined(de.item, begin.Add(time.Hour)), "it is barred")
 }
+
+// Guards against an item that takes an engine during its cooldown: it was moving to that engine when its own ended.
+func TestMovedItemKeepsItsCooldown(t *testing.T) {
+	ta := tableOf(t, 1, "a", "b")
+	ta.Accept(stepOf("s", 1), StoredStep{}, false, begin)
+	ta.Place(begin)
+	engine, key := keyOf(t, ta, "s", 0)
+	ir := ta.steps["s"].items[0]
+	for _, other := range []string{"c", "d"} {
+		ta.quarantine.RecordCrash(ir.digest, other, begin)
+	}
+	ir.run.stopping, ir.moveTarget = true, map[string]string{"a": "b", "b": "a"}[engine]
+	respond(ta, engine, runner.ExchangeResponse{Runs: []runner.Progress{{EngineEnded: true, Key: key, State: runner.Broken}}}, begin)
+	assert.Assert(t, ta.quarantined(ir, begin), "it has three strikes")
+	assert.Equal(t, len(ta.restartStopped(begin)), 0)
+	assert.Equal(t, ir.state, waiting)
+	assert.Equal(t, ir.moveTarget, "", "its place is free for others")
+}
