--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
@@ -36,11 +37,15 @@
 	return len(data), nil
 }
 
-// printCalls prints the lines about the calls that the trial reports as failed.
-func (lb *logBuffer) printCalls(t *testing.T) {
+// printCalls prints the lines about the calls that the trial reports as failed, and how late the process was at most.
+func (lb *logBuffer) printCalls(t *testing.T, stalled func() time.Duration) {
 	t.Helper()
+	stall := stalled()
 	lb.mu.Lock()
 	defer lb.mu.Unlock()
+	if t.Failed() {
+		t.Logf("a timer of the process was late by up to %s", stall)
+	}
 	for _, id := range callID.FindAllString(lb.failed, -1) {
 		for _, line := range lb.lines {
 			if strings.Contains(line, id) {
@@ -50,13 +55,39 @@
 	}
 }
 
+// stallTick is the interval of the timer that measureStall watches.
+const stallTick = 10 * time.Millisecond
+
+// measureStall watches how late a timer fires. The function that it returns ends that, and returns the longest delay.
+func measureStall() (stalled func() time.Duration) {
+	end, longest := make(chan struct{}), make(chan time.Duration)
+	go func() {
+		var most time.Duration
+		for {
+			due := time.Now().Add(stallTick)
+			select {
+			case <-end:
+				longest <- most
+				return
+			case <-time.After(stallTick):
+				most = max(most, time.Since(due))
+			}
+		}
+	}()
+	return func() time.Duration {
+		close(end)
+		return <-longest
+	}
+}
+
 // TestRun runs a step of each deployment while operators change profiles.
 func TestRun(t *testing.T) {
 	for _, name := range Deployments() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var log logBuffer
-			t.Cleanup(func() { log.printCalls(t) })
+			stalled := measureStall()
+			t.Cleanup(func() { log.printCalls(t, stalled) })
 			sum, err := Run(t.Context(), Options{
 				Deployments: []string{name}, Faults: []FaultName{RaceOperators}, Log: &log, Seed: 1, Steps: 1,
 			})
