--- a/directory/directory.go
+++ b/directory/directory.go
@@ -23,21 +23,17 @@
 // which a process considers itself cut off. Responses normally arrive every 0.8 s.
 const contactTimeout = 1500 * time.Millisecond
 
-// configurationTimeout is the age from which a configuration may be older than that of other processes: a change
-// must be in force everywhere after this time.
-const configurationTimeout = 2 * time.Second
-
 // A Directory is a process's table of routes and endpoints. The zero value is empty and ready
 // to use. It is safe for concurrent use.
 type Directory struct {
 	mu            sync.RWMutex
 	configuration *Configuration
 	endpoints     endpointSet
-	displaced     map[string]Endpoint  // lost their addresses before the configuration was known
-	missing       map[string]time.Time // when to drop endpoints whose entries are missing
-	versions      map[string]uint64    // newest announced version by model
-	synced        bool                 // endpoints have been read once
-	confirmedAt   [topicCount]time.Time
+	displaced     map[string]Endpoint   // lost their addresses before the configuration was known
+	missing       map[string]time.Time  // when to drop endpoints whose entries are missing
+	versions      map[string]uint64     // newest announced version by model
+	synced        bool                  // endpoints have been read once
+	confirmedAt   [topicCount]time.Time // by topic
 	changed       broadcast.Signal
 	changes       changeLog // of the endpoints, without model versions
 	revision      uint64    // of the endpoints, with model versions
@@ -214,14 +210,6 @@
 	return now.Sub(di.lastContact) >= contactTimeout
 }
 
-// ConfigurationStale reports whether a newer configuration may exist that this process has not
-// read: it has just started, is cut off, or is rejected by the key-value service. A key or
-// route that is missing from a stale configuration may be known to other processes.
-func (di *Directory) ConfigurationStale(now time.Time) bool {
-	age, known := di.Age(TopicOperator, now)
-	return !known || age >= configurationTimeout
-}
-
 // RemoveEndpoint removes an endpoint whose entry was removed.
 //
 // Entries also expire during an outage of the key-value service, and endpoints register again
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -165,25 +165,6 @@
 	}
 }
 
-// setUnavailable records from the result of a call whether the key-value service is
-// unavailable for a prefix, and logs a change. Only calls for endpoints tell whether their entries may
-// have expired in an outage.
-func (fo *Follower) setUnavailable(prefix string, err error) {
-	unavailable := err != nil && !errors.Is(err, keyvalue.ErrHistoryGone)
-	if prefix == fo.Source.EndpointPrefix {
-		fo.Directory.SetUnavailable(unavailable, time.Now())
-	}
-	if !fo.outages.set(prefix, unavailable) {
-		return
-	}
-	en := fo.Log.WithFields(logrus.Fields{"dependency": "key-value", "prefix": prefix})
-	if unavailable {
-		en.WithError(err).Warn("dependency lost")
-		return
-	}
-	en.Info("dependency regained")
-}
-
 func sleep(ctx context.Context, wait time.Duration) {
 	if wait <= 0 {
 		return
--- a/directory/prefix.go
+++ b/directory/prefix.go
@@ -35,7 +35,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if !fo.usable(ctx, &pc, ch, err) {
+		if !fo.recordResult(ctx, &pc, ch, err) {
 			continue
 		}
 		changed := pc.scan || len(ch.Items) > 0
@@ -64,9 +64,9 @@
 	return fo.Client.Follow(ctx, pc.prefix, pc.after, pc.wait)
 }
 
-// usable records the result of a call, and reports whether its changes can be applied. If not, it sets the next call, and
+// recordResult records the result of a call, and reports whether its changes can be applied. If not, it sets the next call, and
 // pauses unless the history was lost.
-func (fo *Follower) usable(ctx context.Context, pc *prefixCall, ch keyvalue.Changes, err error) bool {
+func (fo *Follower) recordResult(ctx context.Context, pc *prefixCall, ch keyvalue.Changes, err error) bool {
 	fo.recordContact(err)
 	fo.setUnavailable(pc.prefix, err)
 	lo := fo.Log.WithFields(logrus.Fields{"prefix": pc.prefix, "after": pc.after})
