Directory: logs tell for how long a removed endpoint is kept, and by which return

"endpoint's entry removed" did not say whether the endpoint is still used, until when, or how long ago this process believes the store to have returned; a removal that a listing shows, an entry that comes back and an endpoint dropped for good had no line. No decision changes.

--- a/directory/apply.go
+++ b/directory/apply.go
@@ -64,8 +64,8 @@
 		id := strings.TrimPrefix(it.Key, fo.Source.EndpointPrefix)
 		if it.Value == nil {
 			fo.unusable.remove(it.Key)
-			fo.Directory.RemoveEndpoint(id, now)
-			fo.Log.WithFields(logrus.Fields{"endpoint": id, revisionField: it.Version}).Info("endpoint's entry removed")
+			re := fo.Directory.RemoveEndpoint(id, now)
+			fo.Log.WithFields(re.fields(now)).WithFields(logrus.Fields{"endpoint": id, revisionField: it.Version}).Info("endpoint's entry removed")
 			continue
 		}
 		en, err := fo.decodeEndpoint(id, it)
@@ -74,13 +74,16 @@
 			continue
 		}
 		fo.logEndpoint(en)
+		if fo.Directory.isMissing(id) {
+			fo.Log.WithFields(logrus.Fields{"endpoint": id, revisionField: it.Version}).Info("endpoint registered again")
+		}
 		if old := fo.Directory.SetEndpoint(en); old != "" {
 			fo.Log.WithFields(logrus.Fields{"by": en.ID, "endpoint": old, revisionField: it.Version}).Info("endpoint was replaced")
 		}
 		ens = append(ens, en)
 	}
 	if full {
-		fo.Directory.SetEndpoints(ens, now)
+		fo.logMissing(fo.Directory.SetEndpoints(ens, now), now)
 	}
 }
 
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -215,14 +215,18 @@
 // Entries also expire during an outage of the key-value service, and endpoints register again
 // after it. To keep serving requests meanwhile, endpoints removed during or shortly after an
 // outage are kept for reregisterGrace.
-func (di *Directory) RemoveEndpoint(id string, now time.Time) {
+func (di *Directory) RemoveEndpoint(id string, now time.Time) Removal {
 	di.mu.Lock()
 	defer di.mu.Unlock()
+	re := Removal{id: id, sinceReturn: -1}
+	if !di.recoveredAt.IsZero() {
+		re.sinceReturn = now.Sub(di.recoveredAt)
+	}
 	outage := !di.unavailableSince.IsZero() && now.Sub(di.unavailableSince) >= minOutage
 	recovered := !di.recoveredAt.IsZero() && now.Sub(di.recoveredAt) <= reregisterGrace
 	if !outage && !recovered {
 		di.drop(id)
-		return
+		return re
 	}
 	if di.missing == nil {
 		di.missing = map[string]time.Time{}
@@ -230,10 +234,14 @@
 	if _, ok := di.missing[id]; !ok {
 		di.missing[id] = now.Add(reregisterGrace)
 	}
+	re.keptUntil = di.missing[id]
+	return re
 }
 
-// SetEndpoints replaces all endpoints with a complete listing.
-func (di *Directory) SetEndpoints(ens []Endpoint, now time.Time) {
+// SetEndpoints replaces all endpoints with a complete listing, and returns what became of those that
+// are missing from it.
+func (di *Directory) SetEndpoints(ens []Endpoint, now time.Time) []Removal {
+	var res []Removal
 	present := map[string]bool{}
 	for _, en := range ens {
 		present[en.ID] = true
@@ -241,23 +249,36 @@
 	}
 	for _, en := range di.Endpoints("") {
 		if !present[en.ID] {
-			di.RemoveEndpoint(en.ID, now)
+			res = append(res, di.RemoveEndpoint(en.ID, now))
 		}
 	}
 	di.mu.Lock()
 	defer di.mu.Unlock()
 	di.synced = true
+	return res
+}
+
+// isMissing reports whether an endpoint is kept though its entry was removed.
+func (di *Directory) isMissing(id string) bool {
+	di.mu.RLock()
+	defer di.mu.RUnlock()
+	_, ok := di.missing[id]
+	return ok
 }
 
-// Expire removes the endpoints that are still missing after an outage and its grace period.
-func (di *Directory) Expire(now time.Time) {
+// Expire removes the endpoints that are still missing after an outage and its grace period. It returns
+// their IDs.
+func (di *Directory) Expire(now time.Time) []string {
 	di.mu.Lock()
 	defer di.mu.Unlock()
+	var ids []string
 	for id, at := range di.missing {
 		if now.After(at) && di.unavailableSince.IsZero() && now.Sub(di.recoveredAt) > reregisterGrace {
 			di.drop(id)
+			ids = append(ids, id)
 		}
 	}
+	return ids
 }
 
 // SetUnavailable records whether the key-value service is unavailable, and reports whether
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -113,7 +113,7 @@
 		}
 		for ctx.Err() == nil && fo.direct() == direct {
 			sleep(ctx, expireEvery)
-			fo.Directory.Expire(time.Now())
+			fo.expire(time.Now())
 			fo.logAges(direct, time.Now())
 		}
 		cancel()
