Directory: red tests of endpoints that leave after an outage

A store that is silent for 2.2 to 6.5 s, endpoints that leave from 3 s after its return on: in all 15 cases some are used for more than 2 s after. An endpoint that wrote its entry after the return and leaves is kept too. TestEndpointsThatLapseAreKept passes and must go on to: entries that expire in the outage or 0.4 s after it are back 2 s after the return.

--- /dev/null
+++ b/directory/left_test.go
@@ -0,0 +1,131 @@
+package directory
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// drainBound is the time after the removal of an endpoint's entry from which it must get no new work. It holds for removals from
+	// stableAfter after the return of the key-value service on.
+	drainBound  = 2 * time.Second
+	stableAfter = 3 * time.Second
+	// registerBound is the time after the return within which endpoints register again.
+	registerBound = 2 * time.Second
+)
+
+// An outageTest is a process that reads endpoints from a key-value service which is silent for a while.
+type outageTest struct {
+	*testing.T
+	directory *Directory
+	store     *silentStore
+}
+
+// testOutage runs a test with endpoints. The process has read them for a phase when the test begins.
+func testOutage(t *testing.T, phase time.Duration, ids []string, testFunc func(ot outageTest)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		ot := outageTest{T: t, directory: &Directory{}, store: &silentStore{}}
+		for _, id := range ids {
+			ot.register(id)
+		}
+		fo := &Follower{Client: ot.store.client(), Directory: ot.directory, Log: quiet(), Source: source()}
+		go fo.Run(ctx)
+		time.Sleep(phase)
+		testFunc(ot)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func (ot outageTest) register(id string) {
+	ot.Helper()
+	put(ot.T, &ot.store.Memory, "servers/"+id, `{"Service":"desk"}`)
+}
+
+func (ot outageTest) unregister(id string) {
+	ot.Helper()
+	remove(ot.T, &ot.store.Memory, "servers/"+id)
+}
+
+// outage lasts for the given time.
+func (ot outageTest) outage(du time.Duration) {
+	ot.store.silent.Store(true)
+	time.Sleep(du)
+	ot.store.silent.Store(false)
+}
+
+// eachOutage runs a test with outages of several lengths that begin at different times in the process's calls.
+func eachOutage(t *testing.T, ids []string, lengths []time.Duration, testFunc func(ot outageTest, length time.Duration)) {
+	for _, length := range lengths {
+		for phase := 5 * time.Second; phase < 6*time.Second; phase += 200 * time.Millisecond {
+			t.Run(fmt.Sprint(length, " after ", phase), func(t *testing.T) {
+				testOutage(t, phase, ids, func(ot outageTest) { testFunc(ot, length) })
+			})
+		}
+	}
+}
+
+// Guards against an endpoint that leaves after an outage and still gets work seconds later: it was taken for one whose entry
+// had expired, and its time to register again began with its removal, by a return that was noticed late.
+func TestEndpointsThatLeaveAfterAnOutage(t *testing.T) {
+	var ids []string
+	for i := range 20 {
+		ids = append(ids, fmt.Sprintf("e%02d", i))
+	}
+	lengths := []time.Duration{2200 * time.Millisecond, 4160 * time.Millisecond, 6500 * time.Millisecond}
+	eachOutage(t, ids, lengths, func(ot outageTest, length time.Duration) {
+		ot.outage(length)
+		time.Sleep(stableAfter)
+		var used []string
+		for _, id := range ids {
+			ot.unregister(id)
+			time.AfterFunc(drainBound, func() {
+				if known(ot.directory, id) {
+					used = append(used, id)
+				}
+			})
+			time.Sleep(150 * time.Millisecond)
+		}
+		time.Sleep(drainBound)
+		assert.Equal(ot, len(used), 0, "used %s after they left: %s", drainBound, used)
+	})
+}
+
+// Guards against taking an endpoint that leaves for one whose entry expired in the outage, though it has written its entry since.
+func TestEndpointThatRegisteredAgainLeaves(t *testing.T) {
+	testOutage(t, 5*time.Second, []string{"a"}, func(ot outageTest) {
+		time.AfterFunc(3*time.Second, func() { ot.unregister("a") })
+		ot.outage(4 * time.Second)
+		time.Sleep(time.Second)
+		ot.register("a")
+		time.Sleep(500 * time.Millisecond)
+		ot.unregister("a")
+		time.Sleep(2 * followPause)
+		assert.Assert(ot, !known(ot.directory, "a"))
+	})
+}
+
+// Guards against losing endpoints that live. Their entries expire for lack of heartbeats in the outage or shortly after it.
+func TestEndpointsThatLapseAreKept(t *testing.T) {
+	ids := []string{"early", "late"}
+	lengths := []time.Duration{2600 * time.Millisecond, 3200 * time.Millisecond, 6 * time.Second}
+	eachOutage(t, ids, lengths, func(ot outageTest, length time.Duration) {
+		time.AfterFunc(length-100*time.Millisecond, func() { ot.unregister("early") })
+		time.AfterFunc(length+400*time.Millisecond, func() { ot.unregister("late") })
+		time.AfterFunc(length+registerBound, func() {
+			ot.register("early")
+			ot.register("late")
+		})
+		ot.outage(length)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			assert.Assert(ot, known(ot.directory, "early") && known(ot.directory, "late"))
+		}
+	})
+}
