Directory: the time to register again is counted once, from the return

Cause: an endpoint whose entry went within 2.5 s of the return, as the process noticed it, was kept for 2.5 s from its own removal. So an endpoint that left was taken for one that had lapsed, and each had a time of its own.

Now there is one time for all, counted from the return, which a short outage within it prolongs by its own length; and an entry that was written since the return can't have lapsed, so that its removal means that the endpoint left. An entry that is there and can't be used is no lapse either.

Why it works: nothing is kept beyond 2.5 s after the return as this process knows it, and the core counts as stable from 3 s on.

--- a/directory/apply.go
+++ b/directory/apply.go
@@ -70,7 +70,7 @@
 		}
 		en, err := fo.decodeEndpoint(id, it)
 		if fo.isUnusable(it, err) {
-			fo.Directory.RemoveEndpoint(id, now)
+			fo.Directory.Drop(id)
 			continue
 		}
 		fo.logEndpoint(en)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -10,15 +10,6 @@
 	"wisteriacroft/hold"
 )
 
-// reregisterGrace is how long after an outage of the key-value service an endpoint whose
-// entry is missing is still used: the 2 s within which endpoints register again, and the
-// delay of a heartbeat.
-const reregisterGrace = 2500 * time.Millisecond
-
-// minOutage is the shortest time without the key-value service after which entries may have
-// expired for lack of heartbeats. A failed call that is retried at once is not an outage.
-const minOutage = 2 * time.Second
-
 // contactTimeout is the time without a response of the key-value service or the feeder after
 // which a process considers itself cut off. Responses normally arrive every 0.8 s.
 const contactTimeout = 1500 * time.Millisecond
@@ -30,7 +21,7 @@
 	configuration *Configuration
 	endpoints     endpointSet
 	displaced     map[string]Endpoint   // lost their addresses before the configuration was known
-	missing       map[string]time.Time  // when to drop endpoints whose entries are missing
+	missing       map[string]bool       // IDs of the endpoints whose entries may have lapsed in the outage
 	versions      map[string]uint64     // newest announced version by model
 	synced        bool                  // endpoints have been read once
 	confirmedAt   [topicCount]time.Time // by topic
@@ -39,8 +30,8 @@
 	revision      uint64    // of the endpoints, with model versions
 	holds         *hold.Set // set by operators
 
+	outage           outage
 	unavailableSince time.Time // zero while the key-value service responds
-	recoveredAt      time.Time // end of the last outage
 	lastContact      time.Time // last response of the key-value service or the feeder
 }
 
@@ -210,34 +201,6 @@
 	return now.Sub(di.lastContact) >= contactTimeout
 }
 
-// RemoveEndpoint removes an endpoint whose entry was removed.
-//
-// Entries also expire during an outage of the key-value service, and endpoints register again
-// after it. To keep serving requests meanwhile, endpoints removed during or shortly after an
-// outage are kept for reregisterGrace.
-func (di *Directory) RemoveEndpoint(id string, now time.Time) Removal {
-	di.mu.Lock()
-	defer di.mu.Unlock()
-	re := Removal{id: id, sinceReturn: -1}
-	if !di.recoveredAt.IsZero() {
-		re.sinceReturn = now.Sub(di.recoveredAt)
-	}
-	outage := !di.unavailableSince.IsZero() && now.Sub(di.unavailableSince) >= minOutage
-	recovered := !di.recoveredAt.IsZero() && now.Sub(di.recoveredAt) <= reregisterGrace
-	if !outage && !recovered {
-		di.drop(id)
-		return re
-	}
-	if di.missing == nil {
-		di.missing = map[string]time.Time{}
-	}
-	if _, ok := di.missing[id]; !ok {
-		di.missing[id] = now.Add(reregisterGrace)
-	}
-	re.keptUntil = di.missing[id]
-	return re
-}
-
 // SetEndpoints replaces all endpoints with a complete listing, and returns what became of those that
 // are missing from it.
 func (di *Directory) SetEndpoints(ens []Endpoint, now time.Time) []Removal {
@@ -258,49 +221,6 @@
 	return res
 }
 
-// isMissing reports whether an endpoint is kept though its entry was removed.
-func (di *Directory) isMissing(id string) bool {
-	di.mu.RLock()
-	defer di.mu.RUnlock()
-	_, ok := di.missing[id]
-	return ok
-}
-
-// Expire removes the endpoints that are still missing after an outage and its grace period. It returns
-// their IDs.
-func (di *Directory) Expire(now time.Time) []string {
-	di.mu.Lock()
-	defer di.mu.Unlock()
-	var ids []string
-	for id, at := range di.missing {
-		if now.After(at) && di.unavailableSince.IsZero() && now.Sub(di.recoveredAt) > reregisterGrace {
-			di.drop(id)
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
-// SetUnavailable records whether the key-value service is unavailable, and reports whether
-// that has changed.
-func (di *Directory) SetUnavailable(unavailable bool, now time.Time) bool {
-	di.mu.Lock()
-	defer di.mu.Unlock()
-	was := !di.unavailableSince.IsZero()
-	switch {
-	case unavailable == was:
-		return false
-	case unavailable:
-		di.unavailableSince = now
-	default:
-		if now.Sub(di.unavailableSince) >= minOutage {
-			di.recoveredAt = now
-		}
-		di.unavailableSince = time.Time{}
-	}
-	return true
-}
-
 // SetVersion records a version announced for a model if it is higher than the current one, and
 // reports whether it did.
 func (di *Directory) SetVersion(model string, version uint64) bool {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -24,9 +24,9 @@
 	// key-value service failed and was retried.
 	synctest.Test(t, func(t *testing.T) {
 		di := withEndpoint()
-		di.SetUnavailable(true, time.Now())
+		di.SetUnavailable(true, 0, time.Now())
 		time.Sleep(retryPause)
-		di.SetUnavailable(false, time.Now())
+		di.SetUnavailable(false, 0, time.Now())
 		di.RemoveEndpoint("a", time.Now())
 		assert.Assert(t, !known(di, "a"))
 	})
@@ -37,9 +37,9 @@
 	// their entries expired, before they register again.
 	synctest.Test(t, func(t *testing.T) {
 		di := withEndpoint()
-		di.SetUnavailable(true, time.Now())
+		di.SetUnavailable(true, 0, time.Now())
 		time.Sleep(4 * time.Second)
-		di.SetUnavailable(false, time.Now())
+		di.SetUnavailable(false, 0, time.Now())
 		di.SetEndpoints(nil, time.Now())
 		di.Expire(time.Now())
 		assert.Assert(t, known(di, "a"), "right after the outage")
--- a/directory/feed_test.go
+++ b/directory/feed_test.go
@@ -130,11 +130,11 @@
 		logger := logrus.New()
 		logger.SetLevel(logrus.PanicLevel)
 		fo := &Follower{Directory: withEndpoint(), Log: logrus.NewEntry(logger), Source: source()}
-		fo.setUnavailable("servers/", keyvalue.ErrUnavailable)
+		fo.setUnavailable("servers/", 0, keyvalue.ErrUnavailable)
 		time.Sleep(4 * time.Second)
 		assert.NilError(t, fo.applyResponse(t.Context(), FeedRequest{}, FeedResponse{}))
 		time.Sleep(time.Minute)
-		fo.setUnavailable("servers/", nil)
+		fo.setUnavailable("servers/", 0, nil)
 		fo.applyEndpoints(nil, true)
 		assert.Assert(t, !known(fo.Directory, "a"))
 	})
--- a/directory/nofeeder.go
+++ b/directory/nofeeder.go
@@ -42,7 +42,7 @@
 	called := time.Now()
 	ch, err := fo.scanEndpoints(ctx)
 	fo.recordContact(err)
-	fo.setUnavailable(fo.Source.EndpointPrefix, err)
+	fo.setUnavailable(fo.Source.EndpointPrefix, ch.Version, err)
 	if err != nil {
 		fb.end()
 		fo.failedReads++
@@ -101,7 +101,7 @@
 	} {
 		ch, err := fo.Client.ScanStale(ctx, rd.prefix)
 		fo.recordContact(err)
-		fo.setUnavailable(rd.prefix, err)
+		fo.setUnavailable(rd.prefix, 0, err)
 		if err == nil {
 			rd.apply(ch.Items, true)
 		}
--- /dev/null
+++ b/directory/outage.go
@@ -0,0 +1,118 @@
+package directory
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// reregisterGrace is how long after the return of the key-value service an endpoint whose entry is missing is
+	// still used: the 2 s within which endpoints register again, and the delay until their entries are read.
+	reregisterGrace = 2500 * time.Millisecond
+	// minOutage is the shortest time without the key-value service after which entries may have
+	// expired for lack of heartbeats. A failed call that is retried at once is not an outage.
+	minOutage = 2 * time.Second
+)
+
+// An outage is the last time in which the key-value service was away for so long that entries may have
+// expired for lack of heartbeats. The zero value means that there was none.
+type outage struct {
+	returnedAt time.Time
+	version    int64 // of the first state of the endpoints that was read after the return; 0 if unknown
+}
+
+// registerBy returns the end of the time in which endpoints register again.
+func (ou outage) registerBy() time.Time { return ou.returnedAt.Add(reregisterGrace) }
+
+// mayHaveLapsed reports whether an endpoint whose entry is missing may be alive, and register again.
+//
+// An entry expires without heartbeats, in the outage or shortly after it. One that was written since the return did not: its
+// endpoint reached the service, and has left.
+func (ou outage) mayHaveLapsed(en Endpoint, now time.Time) bool {
+	writtenSince := ou.version != 0 && en.Revision > ou.version
+	return !ou.returnedAt.IsZero() && now.Before(ou.registerBy()) && !writtenSince
+}
+
+// recordReturn records that the key-value service, which was away from one time to another, has returned, and the version of the first
+// state of the endpoints that was read since. The lock is held.
+//
+// An outage that is too short for entries to expire, but falls into the time in which endpoints register, prolongs it by its length.
+func (di *Directory) recordReturn(from, to time.Time, version int64) {
+	length := to.Sub(from)
+	switch {
+	case length >= minOutage:
+		di.outage = outage{returnedAt: to, version: version}
+	case to.Before(di.outage.registerBy()):
+		di.outage.returnedAt = di.outage.returnedAt.Add(length)
+	}
+}
+
+// SetUnavailable records whether the key-value service is unavailable, and reports whether
+// that has changed. Version is that of the state that was read; 0 if unknown.
+func (di *Directory) SetUnavailable(unavailable bool, version int64, now time.Time) bool {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	was := !di.unavailableSince.IsZero()
+	switch {
+	case unavailable == was:
+		return false
+	case unavailable:
+		di.unavailableSince = now
+	default:
+		di.recordReturn(di.unavailableSince, now, version)
+		di.unavailableSince = time.Time{}
+	}
+	return true
+}
+
+// RemoveEndpoint removes an endpoint whose entry was removed, and returns what became of it.
+//
+// Entries also expire during an outage of the key-value service, and endpoints register again
+// after it. To keep serving requests meanwhile, endpoints whose entries may have expired are kept
+// until the time to register again is over.
+func (di *Directory) RemoveEndpoint(id string, now time.Time) Removal {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	re := Removal{id: id, returnedAt: di.outage.returnedAt}
+	en, known := di.endpoints.get(id)
+	if !known || !di.outage.mayHaveLapsed(en, now) {
+		di.drop(id)
+		return re
+	}
+	if di.missing == nil {
+		di.missing = map[string]bool{}
+	}
+	di.missing[id] = true
+	re.keptUntil = di.outage.registerBy()
+	return re
+}
+
+// Drop removes an endpoint that can't be used any more.
+func (di *Directory) Drop(id string) {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	di.drop(id)
+}
+
+// Expire removes the endpoints that did not register again in time after an outage. It returns
+// their IDs.
+func (di *Directory) Expire(now time.Time) []string {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	if !di.unavailableSince.IsZero() || now.Before(di.outage.registerBy()) {
+		return nil
+	}
+	ids := slices.Sorted(maps.Keys(di.missing))
+	for _, id := range ids {
+		di.drop(id)
+	}
+	return ids
+}
+
+// isMissing reports whether an endpoint is kept though its entry was removed.
+func (di *Directory) isMissing(id string) bool {
+	di.mu.RLock()
+	defer di.mu.RUnlock()
+	return di.missing[id]
+}
--- a/directory/prefix.go
+++ b/directory/prefix.go
@@ -68,7 +68,7 @@
 // pauses unless the history was lost.
 func (fo *Follower) recordResult(ctx context.Context, pc *prefixCall, ch keyvalue.Changes, err error) bool {
 	fo.recordContact(err)
-	fo.setUnavailable(pc.prefix, err)
+	fo.setUnavailable(pc.prefix, ch.Version, err)
 	lo := fo.Log.WithFields(logrus.Fields{"prefix": pc.prefix, "after": pc.after})
 	switch {
 	case errors.Is(err, keyvalue.ErrHistoryGone):
--- a/directory/removal.go
+++ b/directory/removal.go
@@ -8,34 +8,37 @@
 
 // A Removal is what became of an endpoint whose entry was removed.
 type Removal struct {
-	id          string
-	keptUntil   time.Time     // zero if the endpoint was dropped
-	sinceReturn time.Duration // since this process noticed the end of the last outage; -1 for none
+	id         string
+	keptUntil  time.Time // zero if the endpoint was dropped
+	returnedAt time.Time // end of the last outage, as far as this process knows; zero for none
 }
 
 // fields returns the fields of the removal's log line.
 func (re Removal) fields(now time.Time) logrus.Fields {
-	var kept time.Duration
+	fs := logrus.Fields{"kept-ms": 0}
 	if !re.keptUntil.IsZero() {
-		kept = re.keptUntil.Sub(now)
+		fs["kept-ms"] = re.keptUntil.Sub(now).Milliseconds()
 	}
-	sinceReturn := re.sinceReturn
-	if sinceReturn >= 0 {
-		return logrus.Fields{"kept-ms": kept.Milliseconds(), "since-return-ms": sinceReturn.Milliseconds()}
+	if !re.returnedAt.IsZero() {
+		fs["since-return-ms"] = now.Sub(re.returnedAt).Milliseconds()
 	}
-	return logrus.Fields{"kept-ms": kept.Milliseconds()}
+	return fs
 }
 
 // logMissing logs the endpoints that were missing from a listing.
 func (fo *Follower) logMissing(res []Removal, now time.Time) {
-	if len(res) == 0 {
-		return
+	for _, kept := range []bool{true, false} {
+		var ids []string
+		var last Removal
+		for _, re := range res {
+			if re.keptUntil.IsZero() != kept {
+				ids, last = append(ids, re.id), re
+			}
+		}
+		if len(ids) > 0 {
+			fo.Log.WithFields(last.fields(now)).WithField("endpoints", ids).Info("endpoints are missing from a listing")
+		}
 	}
-	ids := make([]string, 0, len(res))
-	for _, re := range res {
-		ids = append(ids, re.id)
-	}
-	fo.Log.WithFields(res[0].fields(now)).WithField("endpoints", ids).Info("endpoints are missing from a listing")
 }
 
 // expire drops the endpoints whose time to register again is over.
