Directory, key-value: a process notices the store's return by any answer, at once

Callers saw requests reach an endpoint that had left, as the process believed the store to have returned up to 2.9 s after it had.

Cause: a call that was sent into an outage gets no answer, and each prefix went by its own calls: 1.8 s until the timeout, 0.25 s of pause, and then a long poll that waits 0.8 s for a change.

Now the client of the store tracks answers to calls of all kinds: an outage is a time in which calls failed and none was answered. Its end is the first answer to any call; calls that were sent before the answered one are broken off and sent again. While it lasts, a process that reads itself probes each 0.25 s. A failed long poll is repeated without waiting. Silence of one connection alone is no outage: entries can't have lapsed in it. The signal of the steps' calls is the same type, now in keyvalue; their rule of 150 ms is as before.

The stand-in silentStore now loses reads of single keys too.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -30,9 +30,10 @@
 	revision      uint64    // of the endpoints, with model versions
 	holds         *hold.Set // set by operators
 
-	outage           outage
-	unavailableSince time.Time // zero while the key-value service responds
-	lastContact      time.Time // last response of the key-value service or the feeder
+	outage      outage
+	outageSeen  time.Time // end of the last outage that RecordOutage was told
+	unavailable bool      // the key-value service, for endpoints
+	lastContact time.Time // last response of the key-value service or the feeder
 }
 
 // Configuration returns the configuration in force, or nil before it is known. It must not be
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"wisteriacroft/keyvalue"
 )
 
 func known(di *Directory, id string) bool {
@@ -19,14 +21,18 @@
 	return &di
 }
 
+// endOutage records an outage that has just ended.
+func (di *Directory) endOutage(length time.Duration) {
+	now := time.Now()
+	di.RecordOutage(keyvalue.Outage{Failure: now, From: now.Add(-length), To: now}, 1)
+}
+
 func TestRetryIsNoOutage(t *testing.T) {
 	// Guards against keeping a removed endpoint for the grace period because one call to the
 	// key-value service failed and was retried.
 	synctest.Test(t, func(t *testing.T) {
 		di := withEndpoint()
-		di.SetUnavailable(true, 0, time.Now())
-		time.Sleep(retryPause)
-		di.SetUnavailable(false, 0, time.Now())
+		di.endOutage(retryPause)
 		di.RemoveEndpoint("a", time.Now())
 		assert.Assert(t, !known(di, "a"))
 	})
@@ -37,9 +43,7 @@
 	// their entries expired, before they register again.
 	synctest.Test(t, func(t *testing.T) {
 		di := withEndpoint()
-		di.SetUnavailable(true, 0, time.Now())
-		time.Sleep(4 * time.Second)
-		di.SetUnavailable(false, 0, time.Now())
+		di.endOutage(4 * time.Second)
 		di.SetEndpoints(nil, time.Now())
 		di.Expire(time.Now())
 		assert.Assert(t, known(di, "a"), "right after the outage")
--- a/directory/feed_test.go
+++ b/directory/feed_test.go
@@ -129,14 +129,22 @@
 	synctest.Test(t, func(t *testing.T) {
 		logger := logrus.New()
 		logger.SetLevel(logrus.PanicLevel)
-		fo := &Follower{Directory: withEndpoint(), Log: logrus.NewEntry(logger), Source: source()}
-		fo.setUnavailable("servers/", 0, keyvalue.ErrUnavailable)
+		me := &keyvalue.Memory{}
+		fo := &Follower{Client: me.Client(), Directory: withEndpoint(), Log: logrus.NewEntry(logger), Source: source()}
+		var fb feedFallback
+		ctx, cancel := context.WithCancel(t.Context())
+		_, err := fo.Client.Scan(ctx, "servers/")
+		assert.NilError(t, err)
+		me.SetFaults(keyvalue.Faults{Outage: true})
+		fo.readDirectly(ctx, &fb)
 		time.Sleep(4 * time.Second)
 		assert.NilError(t, fo.applyResponse(t.Context(), FeedRequest{}, FeedResponse{}))
+		me.SetFaults(keyvalue.Faults{})
 		time.Sleep(time.Minute)
-		fo.setUnavailable("servers/", 0, nil)
-		fo.applyEndpoints(nil, true)
+		fo.readDirectly(ctx, &fb)
 		assert.Assert(t, !known(fo.Directory, "a"))
+		cancel()
+		synctest.Wait()
 	})
 }
 
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -94,6 +94,7 @@
 	known           standbyList      // callers that can feed others
 	lastFeeder      string           // address of the last known feeder
 	old             [topicCount]bool // as logged, see logAges
+	probedAt        time.Time        // last probe
 	outages         outageSet
 	standbys        string      // as last told by the feeder, see standbyList.joined
 	substituteAt    string      // address of the standby that feeds this process in the feeder's place, or ""
@@ -114,6 +115,9 @@
 		for ctx.Err() == nil && fo.direct() == direct {
 			sleep(ctx, expireEvery)
 			fo.expire(time.Now())
+			if direct && fo.mustProbe(time.Now()) {
+				wg.Go(func() { fo.probe(sub) })
+			}
 			fo.logAges(direct, time.Now())
 		}
 		cancel()
--- a/directory/followfeeder.go
+++ b/directory/followfeeder.go
@@ -102,7 +102,7 @@
 // over. Without recording that, an endpoint removed long after an outage would be kept for
 // reregisterGrace, as this process does not call the service itself.
 func (fo *Follower) applyResponse(ctx context.Context, rq FeedRequest, re FeedResponse) error {
-	fo.setUnavailable(fo.Source.EndpointPrefix, 0, nil)
+	fo.setUnavailable(fo.Source.EndpointPrefix, nil)
 	fo.setHolds("feeder", re.Holds)
 	if re.Holds != nil && time.Since(fo.holdsCheckedAt) >= holdsCheckPause {
 		fo.holdsCheckedAt = time.Now()
--- a/directory/left_test.go
+++ b/directory/left_test.go
@@ -129,3 +129,14 @@
 		}
 	})
 }
+
+// Guards against a process that notices the return of the key-value service seconds late, as calls from before get no answer.
+func TestReturnIsNoticedAtOnce(t *testing.T) {
+	lengths := []time.Duration{4160 * time.Millisecond, 6500 * time.Millisecond}
+	eachOutage(t, nil, lengths, func(ot outageTest, length time.Duration) {
+		time.AfterFunc(length/2, func() { ot.register("new") })
+		ot.outage(length)
+		time.Sleep(2 * probePause)
+		assert.Assert(ot, known(ot.directory, "new"))
+	})
+}
--- a/directory/nofeeder.go
+++ b/directory/nofeeder.go
@@ -42,7 +42,7 @@
 	called := time.Now()
 	ch, err := fo.scanEndpoints(ctx)
 	fo.recordContact(err)
-	fo.setUnavailable(fo.Source.EndpointPrefix, ch.Version, err)
+	fo.setUnavailable(fo.Source.EndpointPrefix, err)
 	if err != nil {
 		fb.end()
 		fo.failedReads++
@@ -50,6 +50,7 @@
 		return pause/2 + rand.N(pause)
 	}
 	fo.failedReads = 0
+	fo.Directory.RecordOutage(fo.Client.LastOutage(), ch.Version)
 	fo.applyEndpoints(ch.Items, true)
 	fo.Directory.Confirm(TopicEndpoints, called)
 	fo.readQuarantine(ctx)
@@ -101,7 +102,7 @@
 	} {
 		ch, err := fo.Client.ScanStale(ctx, rd.prefix)
 		fo.recordContact(err)
-		fo.setUnavailable(rd.prefix, 0, err)
+		fo.setUnavailable(rd.prefix, err)
 		if err == nil {
 			rd.apply(ch.Items, true)
 		}
--- a/directory/outage.go
+++ b/directory/outage.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"wisteriacroft/keyvalue"
 )
 
 const (
@@ -34,36 +36,36 @@
 	return !ou.returnedAt.IsZero() && now.Before(ou.registerBy()) && !writtenSince
 }
 
-// recordReturn records that the key-value service, which was away from one time to another, has returned, and the version of the first
-// state of the endpoints that was read since. The lock is held.
+// RecordOutage records an outage that this process has noticed, and the version of the state of the endpoints that it has read
+// after it. One that is known already, or that ended before the endpoints were last confirmed, has no effect.
 //
-// An outage that is too short for entries to expire, but falls into the time in which endpoints register, prolongs it by its length.
-func (di *Directory) recordReturn(from, to time.Time, version int64) {
-	length := to.Sub(from)
+// An outage that is too short for entries to expire, but falls into the time in which endpoints register, prolongs that by its length.
+func (di *Directory) RecordOutage(ke keyvalue.Outage, version int64) {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	confirmedAt := di.confirmedAt[TopicEndpoints]
+	if !ke.To.After(di.outageSeen) || !ke.Failure.After(confirmedAt) {
+		return
+	}
+	di.outageSeen = ke.To
+	from := ke.From
+	if confirmedAt.After(from) {
+		from = confirmedAt
+	}
+	length := ke.To.Sub(from)
 	switch {
 	case length >= minOutage:
-		di.outage = outage{returnedAt: to, version: version}
-	case to.Before(di.outage.registerBy()):
+		di.outage = outage{returnedAt: ke.To, version: version}
+	case ke.To.Before(di.outage.registerBy()):
 		di.outage.returnedAt = di.outage.returnedAt.Add(length)
 	}
 }
 
-// SetUnavailable records whether the key-value service is unavailable, and reports whether
-// that has changed. Version is that of the state that was read; 0 if unknown.
-func (di *Directory) SetUnavailable(unavailable bool, version int64, now time.Time) bool {
+// SetUnavailable records whether the key-value service is unavailable for endpoints.
+func (di *Directory) SetUnavailable(unavailable bool) {
 	di.mu.Lock()
 	defer di.mu.Unlock()
-	was := !di.unavailableSince.IsZero()
-	switch {
-	case unavailable == was:
-		return false
-	case unavailable:
-		di.unavailableSince = now
-	default:
-		di.recordReturn(di.unavailableSince, now, version)
-		di.unavailableSince = time.Time{}
-	}
-	return true
+	di.unavailable = unavailable
 }
 
 // RemoveEndpoint removes an endpoint whose entry was removed, and returns what became of it.
@@ -100,7 +102,7 @@
 func (di *Directory) Expire(now time.Time) []string {
 	di.mu.Lock()
 	defer di.mu.Unlock()
-	if !di.unavailableSince.IsZero() || now.Before(di.outage.registerBy()) {
+	if di.unavailable || now.Before(di.outage.registerBy()) {
 		return nil
 	}
 	ids := slices.Sorted(maps.Keys(di.missing))
--- a/directory/outageset.go
+++ b/directory/outageset.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
@@ -32,12 +31,11 @@
 }
 
 // setUnavailable records from the result of a call whether the key-value service is
-// unavailable for a prefix, and logs a change. Only calls for endpoints tell whether their entries may
-// have expired in an outage. Version is that of the state that the call returned; 0 if unknown.
-func (fo *Follower) setUnavailable(prefix string, version int64, err error) {
+// unavailable for a prefix, and logs a change.
+func (fo *Follower) setUnavailable(prefix string, err error) {
 	unavailable := err != nil && !errors.Is(err, keyvalue.ErrHistoryGone)
 	if prefix == fo.Source.EndpointPrefix {
-		fo.Directory.SetUnavailable(unavailable, version, time.Now())
+		fo.Directory.SetUnavailable(unavailable)
 	}
 	if !fo.outages.set(prefix, unavailable) {
 		return
--- a/directory/prefix.go
+++ b/directory/prefix.go
@@ -14,11 +14,12 @@
 
 // A prefixCall is one call about a prefix: a scan, or a long poll for changes.
 type prefixCall struct {
-	after  int64 // the version that a long poll continues from
-	called time.Time
-	prefix string
-	scan   bool
-	wait   time.Duration // of a long poll
+	after     int64 // the version that a long poll continues from
+	called    time.Time
+	prefix    string
+	recovered <-chan struct{} // closed if the service recovers after the call was sent
+	scan      bool
+	wait      time.Duration // of a long poll
 }
 
 // Prefix scans a prefix and follows its changes until ctx ends. Apply is called with a complete
@@ -30,7 +31,7 @@
 	defer fo.outages.set(prefix, false) // nobody calls for it any more
 	pc := prefixCall{prefix: prefix, scan: true, wait: wait}
 	for ctx.Err() == nil {
-		pc.called = time.Now()
+		pc.called, pc.recovered = time.Now(), fo.Client.Recovery().Recovered()
 		ch, err := fo.callPrefix(ctx, pc)
 		if ctx.Err() != nil {
 			return
@@ -38,6 +39,9 @@
 		if !fo.recordResult(ctx, &pc, ch, err) {
 			continue
 		}
+		if prefix == fo.Source.EndpointPrefix {
+			fo.Directory.RecordOutage(fo.Client.LastOutage(), ch.Version)
+		}
 		changed := pc.scan || len(ch.Items) > 0
 		if changed {
 			apply(ch.Items, pc.scan)
@@ -54,10 +58,17 @@
 	}
 }
 
-// callPrefix makes a call. Its timeout bounds how long a connection that has gone silent delays changes.
+// callPrefix makes a call. Its timeout bounds how long a connection that has gone silent delays changes. In an outage the call ends as
+// soon as another one shows that the service is back.
 func (fo *Follower) callPrefix(ctx context.Context, pc prefixCall) (keyvalue.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, pc.wait+followSlack)
+	ctx, cancel := fo.Client.Recovery().Context(ctx)
 	defer cancel()
+	wait := pc.wait
+	if pc.scan {
+		wait = followWait
+	}
+	ctx, cancelTime := context.WithTimeout(ctx, wait+followSlack)
+	defer cancelTime()
 	if pc.scan {
 		return fo.Client.Scan(ctx, pc.prefix)
 	}
@@ -65,10 +76,11 @@
 }
 
 // recordResult records the result of a call, and reports whether its changes can be applied. If not, it sets the next call, and
-// pauses unless the history was lost.
+// pauses unless the history was lost. After a failed call the next one doesn't wait for changes, so that the service's return is noticed
+// at once.
 func (fo *Follower) recordResult(ctx context.Context, pc *prefixCall, ch keyvalue.Changes, err error) bool {
 	fo.recordContact(err)
-	fo.setUnavailable(pc.prefix, ch.Version, err)
+	fo.setUnavailable(pc.prefix, err)
 	lo := fo.Log.WithFields(logrus.Fields{"prefix": pc.prefix, "after": pc.after})
 	switch {
 	case errors.Is(err, keyvalue.ErrHistoryGone):
@@ -82,8 +94,10 @@
 		// revision is as high again.
 		lo.WithField(revisionField, ch.Version).Warn("revision decreased, scanning again")
 		pc.scan = true
+	default:
+		pc.wait = 0
 	}
-	sleep(ctx, retryPause)
+	fo.Client.Recovery().Pause(ctx, pc.recovered, retryPause)
 	return false
 }
 
--- a/directory/topic_test.go
+++ b/directory/topic_test.go
@@ -39,7 +39,7 @@
 // client returns a client of the service.
 func (ss *silentStore) client() *keyvalue.Client {
 	cl := ss.Client()
-	follow, scan := cl.FollowFunc, cl.ScanFunc
+	follow, get, scan := cl.FollowFunc, cl.GetFunc, cl.ScanFunc
 	cl.FollowFunc = func(ctx context.Context, prefix string, after int64, wait time.Duration) (keyvalue.Changes, error) {
 		if err := ss.lost(ctx, prefix); err != nil {
 			return keyvalue.Changes{}, err
@@ -50,6 +50,12 @@
 		}
 		return ch, err
 	}
+	cl.GetFunc = func(ctx context.Context, key string) (keyvalue.Item, error) {
+		if err := ss.lost(ctx, key); err != nil {
+			return keyvalue.Item{}, err
+		}
+		return get(ctx, key)
+	}
 	cl.ScanFunc = func(ctx context.Context, prefix string) (keyvalue.Changes, error) {
 		if err := ss.lost(ctx, prefix); err != nil {
 			return keyvalue.Changes{}, err
--- a/keyvalue/client.go
+++ b/keyvalue/client.go
@@ -73,17 +73,29 @@
 	// WatchFunc waits until key is at a version above after and returns its item, which
 	// has a nil Value if the key was deleted. It returns ctx.Err() if ctx ends first.
 	WatchFunc func(ctx context.Context, key string, after int64) (Item, error)
+
+	contact contact
+}
+
+// Clone returns a client with the same functions.
+func (cl *Client) Clone() *Client {
+	return &Client{
+		DeleteFunc: cl.DeleteFunc, FollowFunc: cl.FollowFunc, GetFunc: cl.GetFunc, GetStaleFunc: cl.GetStaleFunc, GrantFunc: cl.GrantFunc,
+		KeepAliveFunc: cl.KeepAliveFunc, ListFunc: cl.ListFunc, PutFunc: cl.PutFunc, RevokeFunc: cl.RevokeFunc, ScanFunc: cl.ScanFunc,
+		ScanStaleFunc: cl.ScanStaleFunc, TransactFunc: cl.TransactFunc, WatchFunc: cl.WatchFunc,
+	}
 }
 
 // Delete calls DeleteFunc.
 func (cl *Client) Delete(ctx context.Context, key string, expected int64) error {
-	return errors.Wrapf(cl.DeleteFunc(ctx, key, expected), "delete %s", key)
+	return cl.done(ctx, time.Now(), cl.DeleteFunc(ctx, key, expected), "delete %s", key)
 }
 
 // Get calls GetFunc.
 func (cl *Client) Get(ctx context.Context, key string) (Item, error) {
+	sent := time.Now()
 	it, err := cl.GetFunc(ctx, key)
-	return it, errors.Wrapf(err, "get %s", key)
+	return it, cl.done(ctx, sent, err, "get %s", key)
 }
 
 // GetStale calls GetStaleFunc, or GetFunc if that is nil.
@@ -97,19 +109,21 @@
 
 // Grant calls GrantFunc.
 func (cl *Client) Grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	sent := time.Now()
 	id, err := cl.GrantFunc(ctx, ttl)
-	return id, errors.Wrap(err, "grant a lease")
+	return id, cl.done(ctx, sent, err, "grant a lease")
 }
 
 // KeepAlive calls KeepAliveFunc.
 func (cl *Client) KeepAlive(ctx context.Context, id LeaseID) error {
-	return errors.Wrapf(cl.KeepAliveFunc(ctx, id), "keep lease %d alive", id)
+	return cl.done(ctx, time.Now(), cl.KeepAliveFunc(ctx, id), "keep lease %d alive", id)
 }
 
 // List calls ListFunc.
 func (cl *Client) List(ctx context.Context, prefix string) ([]Item, error) {
+	sent := time.Now()
 	its, err := cl.ListFunc(ctx, prefix)
-	return its, errors.Wrapf(err, "list %s", prefix)
+	return its, cl.done(ctx, sent, err, "list %s", prefix)
 }
 
 // Put calls PutFunc. It returns ErrTooLarge for a value larger than MaxValueSize.
@@ -119,17 +133,19 @@
 	if len(value) > MaxValueSize {
 		return 0, errors.Wrapf(ErrTooLarge, "put %s: %d bytes", key, len(value))
 	}
+	sent := time.Now()
 	ve, err := cl.PutFunc(ctx, key, value, expected, lease)
-	return ve, errors.Wrapf(err, "put %s", key)
+	return ve, cl.done(ctx, sent, err, "put %s", key)
 }
 
 // Revoke calls RevokeFunc.
 func (cl *Client) Revoke(ctx context.Context, id LeaseID) error {
-	return errors.Wrapf(cl.RevokeFunc(ctx, id), "revoke lease %d", id)
+	return cl.done(ctx, time.Now(), cl.RevokeFunc(ctx, id), "revoke lease %d", id)
 }
 
 // Watch calls WatchFunc.
 func (cl *Client) Watch(ctx context.Context, key string, after int64) (Item, error) {
+	sent := time.Now()
 	it, err := cl.WatchFunc(ctx, key, after)
-	return it, errors.Wrapf(err, "watch %s", key)
+	return it, cl.done(ctx, sent, err, "watch %s", key)
 }
--- a/keyvalue/transaction.go
+++ b/keyvalue/transaction.go
@@ -57,15 +57,17 @@
 			return 0, errors.Wrapf(ErrTooLarge, "transact %s: %d bytes", wr.Key, len(wr.Value))
 		}
 	}
+	sent := time.Now()
 	ve, err := cl.TransactFunc(ctx, tx)
-	return ve, errors.Wrap(err, "transact")
+	return ve, cl.done(ctx, sent, err, "transact")
 }
 
 // Scan returns all items under a prefix and the version to follow from. Changes during
 // the scan may or may not be included; Follow from that version returns them again.
 func (cl *Client) Scan(ctx context.Context, prefix string) (Changes, error) {
+	sent := time.Now()
 	ch, err := cl.ScanFunc(ctx, prefix)
-	return ch, errors.Wrapf(err, "scan %s", prefix)
+	return ch, cl.done(ctx, sent, err, "scan %s", prefix)
 }
 
 // ScanStale calls ScanStaleFunc, or ScanFunc if that is nil.
@@ -80,6 +82,7 @@
 // Follow waits at most wait for changes under a prefix after a version, and returns them.
 // It returns no items if nothing changed.
 func (cl *Client) Follow(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error) {
+	sent := time.Now()
 	ch, err := cl.FollowFunc(ctx, prefix, after, wait)
-	return ch, errors.Wrapf(err, "follow %s", prefix)
+	return ch, cl.done(ctx, sent, err, "follow %s", prefix)
 }
--- a/step/follow.go
+++ b/step/follow.go
@@ -19,7 +19,7 @@
 	var after int64
 	scan, lost := true, false
 	for ctx.Err() == nil {
-		recovered := te.recovery.recovered()
+		recovered := te.recovery.Recovered()
 		ch, err := sc.nextIntake(ctx, te, after, scan, lost)
 		switch {
 		case errors.Is(err, keyvalue.ErrHistoryGone):
@@ -28,11 +28,11 @@
 		case err != nil:
 			sc.Log.WithError(err).Warn("steps can't be followed")
 			lost = true
-			te.recovery.pause(ctx, recovered)
+			te.recovery.Pause(ctx, recovered, retryDelay)
 			continue
 		}
 		if lost {
-			te.recovery.notify()
+			te.notifyRecovery()
 		}
 		lost = false
 		accepted, ended := in.apply(ch.Items, scan)
@@ -57,7 +57,7 @@
 // Calls that the service received before it stopped responding get no answer after it recovers. After a lost call,
 // the next one doesn't wait for changes: its own loss would hide steps that are accepted right after an outage.
 func (sc *Scheduler) nextIntake(ctx context.Context, te *term, after int64, scan, lost bool) (keyvalue.Changes, error) {
-	ctx, cancel := te.recovery.callContext(ctx)
+	ctx, cancel := te.recovery.Context(ctx)
 	defer cancel()
 	if scan {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/step/manifest_test.go
+++ b/step/manifest_test.go
@@ -42,7 +42,7 @@
 
 // countReads counts the bytes that a client reads.
 func countReads(cl *keyvalue.Client, size *int) *keyvalue.Client {
-	counted := *cl
+	counted := cl.Clone()
 	counted.ScanFunc = func(ctx context.Context, prefix string) (keyvalue.Changes, error) {
 		ch, err := cl.ScanFunc(ctx, prefix)
 		for _, it := range ch.Items {
@@ -55,7 +55,7 @@
 		*size += len(it.Value)
 		return it, err
 	}
-	return &counted
+	return counted
 }
 
 func TestNewSchedulerPlacesBeforeItReadsTexts(t *testing.T) {
--- a/step/term.go
+++ b/step/term.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"wisteriacroft/directory"
+	"wisteriacroft/keyvalue"
 )
 
 // A term is a period in which a scheduler holds the lease without another holder in between.
@@ -19,7 +20,7 @@
 	epoch         uint64
 	exchangeKicks map[string]chan struct{} // wake the exchange loops, by engine
 	polledAt      time.Time                // last response to the intake poll
-	recovery      recoverySignal
+	recovery      keyvalue.Recovery
 	ready         bool // the state of earlier schedulers is loaded
 	table         *Table
 	writeKick     chan struct{} // wakes the writer
@@ -29,6 +30,13 @@
 	endpoints     []directory.Endpoint
 }
 
+// minCancelAge is the age from which a call is canceled on recovery. A younger call was usually made after the
+// recovery and will be answered.
+const minCancelAge = 150 * time.Millisecond
+
+// notifyRecovery tells the callers of the term that the key-value service has recovered.
+func (te *term) notifyRecovery() { te.recovery.Notify(time.Now().Add(-minCancelAge)) }
+
 // updateTerm begins, continues or ends a term according to the epoch of the lease, which is 0
 // without a lease.
 func (sc *Scheduler) updateTerm(ctx context.Context, epoch uint64) {
@@ -84,7 +92,7 @@
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	if sc.term != nil {
-		sc.term.recovery.notify()
+		sc.term.notifyRecovery()
 		notify(sc.term.writeKick)
 	}
 }
--- a/step/write.go
+++ b/step/write.go
@@ -15,7 +15,7 @@
 	var ws WriteSet
 	timeout := resultsWriteTimeout
 	for ctx.Err() == nil {
-		recovered := te.recovery.recovered()
+		recovered := te.recovery.Recovered()
 		if ws.empty() {
 			sc.mu.Lock()
 			ws = te.table.NextWrites(time.Now())
@@ -32,7 +32,7 @@
 		switch {
 		case done:
 			if timeout != resultsWriteTimeout {
-				te.recovery.notify()
+				te.notifyRecovery()
 			}
 			timeout = resultsWriteTimeout
 			sc.mu.Lock()
@@ -47,7 +47,7 @@
 		default:
 			sc.Log.WithError(err).Warn("results can't be listed")
 			timeout = probeTimeout
-			te.recovery.pause(ctx, recovered)
+			te.recovery.Pause(ctx, recovered, retryDelay)
 		}
 	}
 }
@@ -69,7 +69,7 @@
 	defer sc.Metrics.GetOrCreateHistogram(`wisteriacroft_list_seconds`).UpdateDuration(time.Now())
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	ctx, cancel = te.recovery.callContext(ctx)
+	ctx, cancel = te.recovery.Context(ctx)
 	defer cancel()
 	return sc.Keeper.Write(ctx, fence, ws)
 }
--- a/usage/simulation_test.go
+++ b/usage/simulation_test.go
@@ -153,7 +153,7 @@
 // clientFor returns a client that fails while the process is cut off, and blocks while it is
 // frozen.
 func (pr *process) clientFor(cl *keyvalue.Client) *keyvalue.Client {
-	out := *cl
+	out := cl.Clone()
 	check := func() error {
 		pr.waitFrozen()
 		pr.mu.Lock()
@@ -181,7 +181,7 @@
 		}
 		return cl.KeepAliveFunc(ctx, id)
 	}
-	return &out
+	return out
 }
 
 func (pr *process) isSuspected(name string) bool {
