Directory: a feeder tells the end of the last outage

One without an outage of its own dropped endpoints that had only lapsed; one that noticed late kept endpoints longer than the feeder.

TestOutageIsPassedOn failed before (an endpoint that may register again is lost).

--- a/directory/callfeeder.go
+++ b/directory/callfeeder.go
@@ -75,7 +75,9 @@
 	if err != nil && ctx.Err() == nil && !errors.Is(err, ErrOldState) || errors.Is(err, context.DeadlineExceeded) {
 		fo.Feeder.Invalidate(address, err)
 	}
-	re.Age += max(0, elapsed(called, time.Now())-feedWait) // the response may have been held up on its way
+	held := max(0, elapsed(called, time.Now())-feedWait) // the response may have been held up on its way
+	re.Age += held
+	re.SinceReturn += held
 	return re, err
 }
 
--- a/directory/feed.go
+++ b/directory/feed.go
@@ -73,7 +73,10 @@
 	Partial       bool                `cbor:",omitempty"`
 	Quarantine    []quarantine.Record `cbor:",omitempty"`
 	Removed       []string            `cbor:",omitempty"` // IDs of endpoints, if Partial
-	Since         uint64              `cbor:",omitempty"` // the generation that a partial response follows
+	// ReturnVersion and SinceReturn tell the last outage while endpoints may register again after it; see outage.
+	ReturnVersion int64         `cbor:",omitempty"`
+	Since         uint64        `cbor:",omitempty"` // the generation that a partial response follows
+	SinceReturn   time.Duration `cbor:",omitempty"`
 	// Stale means that only Holder and Quarantine are set: the process is not a feeder, or its
 	// state is old.
 	Stale bool `cbor:",omitempty"`
--- a/directory/feeder.go
+++ b/directory/feeder.go
@@ -31,6 +31,8 @@
 	configuration bool
 	endpoints     bool
 	holds         bool
+	returnVersion int64         // see outage
+	sinceReturn   time.Duration // a multiple of feedAgeStep; 0 if no endpoint may register again
 	standbys      bool
 	since         uint64 // the generation that the endpoints follow; unknownGeneration for all endpoints
 	state         feedState
@@ -84,6 +86,9 @@
 	st := fo.Directory.feedState()
 	st.held, st.standbys = fo.quarantine().Generation(), fo.known.joined(now)
 	up := feedUpdate{update: update{age: roundUp(fr.age, feedAgeStep), boot: boot, since: unknownGeneration, state: st}}
+	if since, version := fo.Directory.registrations(now); version != 0 {
+		up.sinceReturn, up.returnVersion = roundUp(since, feedAgeStep), version
+	}
 	held := rq.Held
 	if rq.Boot != boot {
 		held = 0
@@ -116,7 +121,8 @@
 // may have changed since.
 func (fo *Follower) response(up feedUpdate) (FeedResponse, bool) {
 	re := FeedResponse{
-		Age: up.age, Boot: up.boot, Generation: up.state.generation, Held: up.state.held, Quarantine: up.quarantine, Stale: up.stale,
+		Age: up.age, Boot: up.boot, Generation: up.state.generation, Held: up.state.held, Quarantine: up.quarantine,
+		ReturnVersion: up.returnVersion, SinceReturn: up.sinceReturn, Stale: up.stale,
 	}
 	if up.stale {
 		return FeedResponse{Boot: re.Boot, Held: re.Held, Holder: up.holder, Quarantine: re.Quarantine, Stale: true}, false
--- a/directory/followfeeder.go
+++ b/directory/followfeeder.go
@@ -114,6 +114,9 @@
 	if co := re.Configuration; co != nil && fo.Directory.SetConfiguration(co) {
 		fo.Log.WithFields(logrus.Fields{"from": "feeder", "routes": len(co.Routes), "taken": true, "version": co.Version}).Info("configuration")
 	}
+	if re.ReturnVersion != 0 {
+		fo.Directory.learnReturn(time.Now().Add(-re.SinceReturn), re.ReturnVersion)
+	}
 	if err := fo.applyEndpointUpdate(rq, re); err != nil {
 		return err
 	}
--- a/directory/left_test.go
+++ b/directory/left_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"wisteriacroft/keyvalue"
 )
 
 const (
@@ -140,3 +142,28 @@
 		assert.Assert(ot, known(ot.directory, "new"))
 	})
 }
+
+// Guards against a process that loses its feeder after an outage and has a time of its own in which endpoints register again, or none:
+// it would drop endpoints that live, or use some that have left.
+func TestOutageIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ens := []Endpoint{{Address: "10.0.0.1:80", ID: "lapsed", Revision: 3}, {Address: "10.0.0.2:80", ID: "written", Revision: 9}}
+		feeder := &Follower{Directory: &Directory{}, Log: quiet()}
+		feeder.Directory.SetEndpoints(ens, time.Now())
+		returned := time.Now()
+		feeder.Directory.RecordOutage(keyvalue.Outage{Failure: returned, From: returned.Add(-minOutage), To: returned}, 7)
+		confirmAll(feeder.Directory)
+		time.Sleep(feedAgeStep)
+		re, err := feeder.feed(t.Context(), FeedRequest{})
+		assert.NilError(t, err)
+
+		fed := &Follower{Directory: &Directory{}, Log: quiet(), Source: source()}
+		assert.NilError(t, fed.applyResponse(t.Context(), FeedRequest{}, re))
+		fed.applyEndpoints(nil, true)
+		assert.Assert(t, known(fed.Directory, "lapsed"))
+		assert.Assert(t, !known(fed.Directory, "written"))
+		time.Sleep(time.Until(returned.Add(reregisterGrace)))
+		fed.expire(time.Now())
+		assert.Assert(t, !known(fed.Directory, "lapsed"))
+	})
+}
--- a/directory/outage.go
+++ b/directory/outage.go
@@ -61,6 +61,25 @@
 	}
 }
 
+// registrations returns how long ago the key-value service has returned, and the version of the first state since, while endpoints
+// may register again after an outage; zeros otherwise.
+func (di *Directory) registrations(now time.Time) (time.Duration, int64) {
+	di.mu.RLock()
+	defer di.mu.RUnlock()
+	if di.outage.returnedAt.IsZero() || !now.Before(di.outage.registerBy()) {
+		return 0, 0
+	}
+	return now.Sub(di.outage.returnedAt), di.outage.version
+}
+
+// learnReturn records the end of the outage that a feeder tells. The feeder's endpoints are those that it has kept since, so
+// that its word counts and not what this process has noticed.
+func (di *Directory) learnReturn(returnedAt time.Time, version int64) {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	di.outage = outage{returnedAt: returnedAt, version: version}
+}
+
 // SetUnavailable records whether the key-value service is unavailable for endpoints.
 func (di *Directory) SetUnavailable(unavailable bool) {
 	di.mu.Lock()
