Directory, key-value: time of a suspension counts, a process that starts in an outage probes

A process that was suspended right after the store's return kept endpoints by its steady clock, which had stood still: the time to register now counts by the clock that says more, as ages do. A process whose first calls fail had no answer from which to count an outage: it would not probe, and notice the return two seconds late.

--- a/directory/left_test.go
+++ b/directory/left_test.go
@@ -132,6 +132,22 @@
 	})
 }
 
+// Guards against losing endpoints that live because a second outage takes up the time in which they register.
+func TestOutageWhileEndpointsRegister(t *testing.T) {
+	testOutage(t, 5*time.Second, []string{"a"}, func(ot outageTest) {
+		time.AfterFunc(3*time.Second, func() { ot.unregister("a") })
+		ot.outage(4 * time.Second)
+		time.Sleep(400 * time.Millisecond)
+		const second = 1900 * time.Millisecond
+		time.AfterFunc(second+registerBound, func() { ot.register("a") })
+		ot.outage(second)
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			assert.Assert(ot, known(ot.directory, "a"))
+		}
+	})
+}
+
 // Guards against a process that notices the return of the key-value service seconds late, as calls from before get no answer.
 func TestReturnIsNoticedAtOnce(t *testing.T) {
 	lengths := []time.Duration{4160 * time.Millisecond, 6500 * time.Millisecond}
--- a/directory/outage.go
+++ b/directory/outage.go
@@ -24,8 +24,13 @@
 	version    int64 // of the first state of the endpoints that was read after the return; 0 if unknown
 }
 
-// registerBy returns the end of the time in which endpoints register again.
-func (ou outage) registerBy() time.Time { return ou.returnedAt.Add(reregisterGrace) }
+// left returns the rest of the time in which endpoints register again; 0 if it is over. Time in which the instance was suspended counts.
+func (ou outage) left(now time.Time) time.Duration {
+	if ou.returnedAt.IsZero() {
+		return 0
+	}
+	return max(0, reregisterGrace-elapsed(ou.returnedAt, now))
+}
 
 // mayHaveLapsed reports whether an endpoint whose entry is missing may be alive, and register again.
 //
@@ -33,11 +38,11 @@
 // endpoint reached the service, and has left.
 func (ou outage) mayHaveLapsed(en Endpoint, now time.Time) bool {
 	writtenSince := ou.version != 0 && en.Revision > ou.version
-	return !ou.returnedAt.IsZero() && now.Before(ou.registerBy()) && !writtenSince
+	return ou.left(now) > 0 && !writtenSince
 }
 
 // RecordOutage records an outage that this process has noticed, and the version of the state of the endpoints that it has read
-// after it. One that is known already, or that ended before the endpoints were last confirmed, has no effect.
+// after it. One that is known already, or in which no call has failed since the endpoints were last confirmed, has no effect.
 //
 // An outage that is too short for entries to expire, but falls into the time in which endpoints register, prolongs that by its length.
 func (di *Directory) RecordOutage(ke keyvalue.Outage, version int64) {
@@ -56,7 +61,7 @@
 	switch {
 	case length >= minOutage:
 		di.outage = outage{returnedAt: ke.To, version: version}
-	case ke.To.Before(di.outage.registerBy()):
+	case di.outage.left(ke.To) > 0:
 		di.outage.returnedAt = di.outage.returnedAt.Add(length)
 	}
 }
@@ -66,10 +71,11 @@
 func (di *Directory) registrations(now time.Time) (time.Duration, int64) {
 	di.mu.RLock()
 	defer di.mu.RUnlock()
-	if di.outage.returnedAt.IsZero() || !now.Before(di.outage.registerBy()) {
+	left := di.outage.left(now)
+	if left == 0 {
 		return 0, 0
 	}
-	return now.Sub(di.outage.returnedAt), di.outage.version
+	return reregisterGrace - left, di.outage.version
 }
 
 // learnReturn records the end of the outage that a feeder tells. The feeder's endpoints are those that it has kept since, so
@@ -105,7 +111,7 @@
 		di.missing = map[string]bool{}
 	}
 	di.missing[id] = true
-	re.keptUntil = di.outage.registerBy()
+	re.kept = di.outage.left(now)
 	return re
 }
 
@@ -121,7 +127,7 @@
 func (di *Directory) Expire(now time.Time) []string {
 	di.mu.Lock()
 	defer di.mu.Unlock()
-	if di.unavailable || now.Before(di.outage.registerBy()) {
+	if di.unavailable || di.outage.left(now) > 0 {
 		return nil
 	}
 	ids := slices.Sorted(maps.Keys(di.missing))
--- a/directory/removal.go
+++ b/directory/removal.go
@@ -9,16 +9,13 @@
 // A Removal is what became of an endpoint whose entry was removed.
 type Removal struct {
 	id         string
-	keptUntil  time.Time // zero if the endpoint was dropped
-	returnedAt time.Time // end of the last outage, as far as this process knows; zero for none
+	kept       time.Duration // how long the endpoint is still used; 0 if it was dropped
+	returnedAt time.Time     // end of the last outage, as far as this process knows; zero for none
 }
 
 // fields returns the fields of the removal's log line.
 func (re Removal) fields(now time.Time) logrus.Fields {
-	fs := logrus.Fields{"kept-ms": 0}
-	if !re.keptUntil.IsZero() {
-		fs["kept-ms"] = re.keptUntil.Sub(now).Milliseconds()
-	}
+	fs := logrus.Fields{"kept-ms": re.kept.Milliseconds()}
 	if !re.returnedAt.IsZero() {
 		fs["since-return-ms"] = now.Sub(re.returnedAt).Milliseconds()
 	}
@@ -31,7 +28,7 @@
 		var ids []string
 		var last Removal
 		for _, re := range res {
-			if re.keptUntil.IsZero() != kept {
+			if re.kept > 0 == kept {
 				ids, last = append(ids, re.id), re
 			}
 		}
--- a/keyvalue/contact.go
+++ b/keyvalue/contact.go
@@ -15,7 +15,7 @@
 // An Outage is a time in which calls of this process failed and none was answered.
 type Outage struct {
 	Failure time.Time // last failed call
-	From    time.Time // last answer before it
+	From    time.Time // last answer before it, or the first call
 	To      time.Time // first answer after it
 }
 
@@ -25,7 +25,7 @@
 // take the service for away for seconds after another part of the process has been answered.
 type contact struct {
 	mu         sync.Mutex
-	answeredAt time.Time // last answer
+	answeredAt time.Time // last answer; before any, when the first call that failed was sent
 	failedAt   time.Time // last failed call
 	outage     Outage    // the last one
 	recovery   Recovery
@@ -45,12 +45,15 @@
 		co.answeredAt = now
 	case !errors.Is(ctx.Err(), context.Canceled):
 		co.failedAt = now
+		if co.answeredAt.IsZero() {
+			co.answeredAt = sent
+		}
 	}
 }
 
 // isAway reports whether the service is away. The lock is held.
 func (co *contact) isAway(now time.Time) bool {
-	return !co.answeredAt.IsZero() && co.failedAt.After(co.answeredAt) && now.Sub(co.answeredAt) >= minAway
+	return co.failedAt.After(co.answeredAt) && now.Sub(co.answeredAt) >= minAway
 }
 
 // done records the result of a call that was sent at a given time, and returns its error with a description.
