--- a/directory/directory.go
+++ b/directory/directory.go
@@ -21,7 +21,7 @@
 	configuration *Configuration
 	endpoints     endpointSet
 	displaced     map[string]Endpoint   // lost their addresses before the configuration was known
-	missing       map[string]bool       // IDs of the endpoints whose entries may have lapsed in the outage
+	missing       map[string]bool       // IDs of the endpoints whose entries may have expired in the outage
 	versions      map[string]uint64     // newest announced version by model
 	synced        bool                  // endpoints have been read once
 	confirmedAt   [topicCount]time.Time // by topic
--- a/directory/left_test.go
+++ b/directory/left_test.go
@@ -114,7 +114,7 @@
 }
 
 // Guards against losing endpoints that live. Their entries expire for lack of heartbeats in the outage or shortly after it.
-func TestEndpointsThatLapseAreKept(t *testing.T) {
+func TestEndpointsWithExpiredEntriesAreKept(t *testing.T) {
 	ids := []string{"early", "late"}
 	lengths := []time.Duration{2600 * time.Millisecond, 3200 * time.Millisecond, 6 * time.Second}
 	eachOutage(t, ids, lengths, func(ot outageTest, length time.Duration) {
@@ -163,7 +163,7 @@
 // it would drop endpoints that live, or use some that have left.
 func TestOutageIsPassedOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ens := []Endpoint{{Address: "10.0.0.1:80", ID: "lapsed", Revision: 3}, {Address: "10.0.0.2:80", ID: "written", Revision: 9}}
+		ens := []Endpoint{{Address: "10.0.0.1:80", ID: "expired", Revision: 3}, {Address: "10.0.0.2:80", ID: "written", Revision: 9}}
 		feeder := &Follower{Directory: &Directory{}, Log: quiet()}
 		feeder.Directory.SetEndpoints(ens, time.Now())
 		returned := time.Now()
@@ -176,10 +176,10 @@
 		fed := &Follower{Directory: &Directory{}, Log: quiet(), Source: source()}
 		assert.NilError(t, fed.applyResponse(t.Context(), FeedRequest{}, re))
 		fed.applyEndpoints(nil, true)
-		assert.Assert(t, known(fed.Directory, "lapsed"))
+		assert.Assert(t, known(fed.Directory, "expired"))
 		assert.Assert(t, !known(fed.Directory, "written"))
 		time.Sleep(time.Until(returned.Add(reregisterGrace)))
 		fed.expire(time.Now())
-		assert.Assert(t, !known(fed.Directory, "lapsed"))
+		assert.Assert(t, !known(fed.Directory, "expired"))
 	})
 }
--- a/directory/outage.go
+++ b/directory/outage.go
@@ -32,11 +32,11 @@
 	return max(0, reregisterGrace-elapsed(ou.returnedAt, now))
 }
 
-// mayHaveLapsed reports whether an endpoint whose entry is missing may be alive, and register again.
+// mayHaveExpired reports whether an entry that is missing may have expired, so that its endpoint may be alive and register again.
 //
 // An entry expires without heartbeats, in the outage or shortly after it. One that was written since the return did not: its
 // endpoint reached the service, and has left.
-func (ou outage) mayHaveLapsed(en Endpoint, now time.Time) bool {
+func (ou outage) mayHaveExpired(en Endpoint, now time.Time) bool {
 	writtenSince := ou.version != 0 && en.Revision > ou.version
 	return ou.left(now) > 0 && !writtenSince
 }
@@ -103,7 +103,7 @@
 	defer di.mu.Unlock()
 	re := Removal{id: id, returnedAt: di.outage.returnedAt}
 	en, known := di.endpoints.get(id)
-	if !known || !di.outage.mayHaveLapsed(en, now) {
+	if !known || !di.outage.mayHaveExpired(en, now) {
 		di.drop(id)
 		return re
 	}
