--- a/directory/nofeeder.go
+++ b/directory/nofeeder.go
@@ -50,7 +50,7 @@
 		return pause/2 + rand.N(pause)
 	}
 	fo.failedReads = 0
-	fo.Directory.RecordOutage(fo.Client.LastOutage(), ch.Version)
+	fo.recordOutage(ch.Version)
 	fo.applyEndpoints(ch.Items, true)
 	fo.Directory.Confirm(TopicEndpoints, called)
 	fo.readQuarantine(ctx)
--- a/directory/outage.go
+++ b/directory/outage.go
@@ -42,15 +42,16 @@
 }
 
 // RecordOutage records an outage that this process has noticed, and the version of the state of the endpoints that it has read
-// after it. One that is known already, or in which no call has failed since the endpoints were last confirmed, has no effect.
+// after it. It returns the length of the outage if entries may have expired in it. One that is known already, or in which no call has
+// failed since the endpoints were last confirmed, has no effect.
 //
 // An outage that is too short for entries to expire, but falls into the time in which endpoints register, prolongs that by its length.
-func (di *Directory) RecordOutage(ke keyvalue.Outage, version int64) {
+func (di *Directory) RecordOutage(ke keyvalue.Outage, version int64) (time.Duration, bool) {
 	di.mu.Lock()
 	defer di.mu.Unlock()
 	confirmedAt := di.confirmedAt[TopicEndpoints]
 	if !ke.To.After(di.outageSeen) || !ke.Failure.After(confirmedAt) {
-		return
+		return 0, false
 	}
 	di.outageSeen = ke.To
 	from := ke.From
@@ -58,12 +59,14 @@
 		from = confirmedAt
 	}
 	length := ke.To.Sub(from)
-	switch {
-	case length >= minOutage:
+	if length >= minOutage {
 		di.outage = outage{returnedAt: ke.To, version: version}
-	case di.outage.left(ke.To) > 0:
+		return length, true
+	}
+	if di.outage.left(ke.To) > 0 {
 		di.outage.returnedAt = di.outage.returnedAt.Add(length)
 	}
+	return 0, false
 }
 
 // registrations returns how long ago the key-value service has returned, and the version of the first state since, while endpoints
--- a/directory/prefix.go
+++ b/directory/prefix.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		if prefix == fo.Source.EndpointPrefix {
-			fo.Directory.RecordOutage(fo.Client.LastOutage(), ch.Version)
+			fo.recordOutage(ch.Version)
 		}
 		changed := pc.scan || len(ch.Items) > 0
 		if changed {
