--- a/keyvalue/recovery.go
+++ b/keyvalue/recovery.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"wisteriacroft/broadcast"
 )
 
 // A Recovery tells callers that the service has recovered. The zero value is ready to use.
@@ -12,19 +14,12 @@
 // answer notifies the others, which cancel their calls and retry.
 type Recovery struct {
 	mu     sync.Mutex
-	signal chan struct{} // closed on recovery
-	since  time.Time     // calls that were sent before get no answer
+	signal broadcast.Signal
+	since  time.Time // calls that were sent before get no answer
 }
 
 // Recovered returns a channel that is closed at the next recovery.
-func (re *Recovery) Recovered() <-chan struct{} {
-	re.mu.Lock()
-	defer re.mu.Unlock()
-	if re.signal == nil {
-		re.signal = make(chan struct{})
-	}
-	return re.signal
-}
+func (re *Recovery) Recovered() <-chan struct{} { return re.signal.Changed() }
 
 // Notify wakes all waiting callers. Calls that were sent before the given time, at which a call was sent that has been answered, are
 // canceled. If it were all calls, two callers could cancel each other's calls forever.
@@ -34,10 +29,7 @@
 	if since.After(re.since) {
 		re.since = since
 	}
-	if re.signal != nil {
-		close(re.signal)
-		re.signal = nil
-	}
+	re.signal.Notify()
 }
 
 // isLost reports whether a call that was sent at a given time gets no answer.
