--- a/directory/outage.go
+++ b/directory/outage.go
@@ -89,7 +89,8 @@
 	di.outage = outage{returnedAt: returnedAt, version: version}
 }
 
-// SetUnavailable records whether the key-value service is unavailable for endpoints.
+// SetUnavailable records whether the key-value service is unavailable for endpoints. While it is, none is dropped by Expire, as none
+// can register again.
 func (di *Directory) SetUnavailable(unavailable bool) {
 	di.mu.Lock()
 	defer di.mu.Unlock()
--- a/directory/outageset.go
+++ b/directory/outageset.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
@@ -47,3 +48,16 @@
 	}
 	en.Info("dependency regained")
 }
+
+// recordOutage records the last outage that this process has noticed, and the version of the state of the endpoints that it has read
+// after it.
+func (fo *Follower) recordOutage(version int64) {
+	ke := fo.Client.LastOutage()
+	length, ok := fo.Directory.RecordOutage(ke, version)
+	if !ok {
+		return
+	}
+	fo.Log.WithFields(logrus.Fields{
+		"away-ms": length.Milliseconds(), "since-return-ms": time.Since(ke.To).Milliseconds(), revisionField: version,
+	}).Info("entries may have expired in an outage")
+}
--- a/directory/removal.go
+++ b/directory/removal.go
@@ -22,19 +22,6 @@
 	return fs
 }
 
-// recordOutage records the last outage that this process has noticed, and the version of the state of the endpoints that it has read
-// after it.
-func (fo *Follower) recordOutage(version int64) {
-	ke := fo.Client.LastOutage()
-	length, ok := fo.Directory.RecordOutage(ke, version)
-	if !ok {
-		return
-	}
-	fo.Log.WithFields(logrus.Fields{
-		"away-ms": length.Milliseconds(), "since-return-ms": time.Since(ke.To).Milliseconds(), revisionField: version,
-	}).Info("entries may have expired in an outage")
-}
-
 // logMissing logs the endpoints that were missing from a listing.
 func (fo *Follower) logMissing(res []Removal, now time.Time) {
 	for _, kept := range []bool{true, false} {
