--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -33,6 +33,7 @@
 var scenarios = map[string]scenario{
 	"crashes":  playCrashes,
 	"hot":      playHot,
+	"slow":     playSlow,
 	"settings": playSettings,
 	"stream":   playStream,
 }
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -50,6 +50,7 @@
 type world struct {
 	ctx     context.Context //nolint:containedctx // the lifetime of the whole case
 	dir     string          // temporary folder
+	memory  int             // MB of a machine
 	net     string          // first three parts of all addresses
 	port    int             // first internal port
 	rec     *record
@@ -77,7 +78,7 @@
 		return nil, err
 	}
 	w := &world{
-		ctx: ctx, dir: dir, net: fmt.Sprintf("127.%d.%d.", 10+rand.IntN(200), 1+rand.IntN(250)), port: 20000 + rand.IntN(9000),
+		ctx: ctx, dir: dir, memory: 284, net: fmt.Sprintf("127.%d.%d.", 10+rand.IntN(200), 1+rand.IntN(250)), port: 20000 + rand.IntN(9000),
 		rec: re, root: root, store: &standin.Store{},
 	}
 	w.storeAt = fmt.Sprintf("%s1:%d", w.net, w.port+portStore)
@@ -220,7 +221,8 @@
 	if class == "front" {
 		fmt.Fprintf(&sb, "front = \"%s:%d\"\nready = \"%s:%d\"\n", ip, w.port+portFront, ip, w.port+portReady)
 	}
-	sb.WriteString("[limits]\nmemory_mb = 284\nmax_fds = 4100\n[tolerate]\nmachines = 1\nzones = 0\nregions = 0\n[bounds]\n")
+	fmt.Fprintf(&sb, "[limits]\nmemory_mb = %d\nmax_fds = 4100\n", w.memory)
+	sb.WriteString("[tolerate]\nmachines = 1\nzones = 0\nregions = 0\n[bounds]\n")
 	sb.WriteString("stability_window_ms = 3000\ndrain_ms = 2000\ngrace_s = 8\nconfig_apply_ms = 2000\nrecovery_s = 12\nstatus_s = 120\n")
 	sb.WriteString("cancel_ms = 3000\nsettle_ms = 1000\nquota_overshoot = 0.1\nrequire_fence = false\nlease_ms = 3000\n[platform]\n")
 	fmt.Fprintf(&sb, "address = %q\nform = \"kv\"\nwrites_per_s = 400\nreads_per_s = 2000\nhistory_s = 20\nvalue_bytes = 1048576\nttl_min_ms = 1000\n", w.storeAt)
