--- a/review/standin/batches.go
+++ b/review/standin/batches.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -70,79 +69,6 @@
 	}
 }
 
-// playCrashes crashes two of eleven model servers at a time, again and again, while a trainer asks for steps. The groups that a step
-// leaves incomplete come again in the next one.
-func playCrashes(ctx context.Context, w *world, trouble bool) (verdict, error) {
-	const engines, slots = 11, 12
-	de, err := w.deploy(ctx, plan{
-		engine:  traits{events: lengthOf, gap: 50 * time.Millisecond, size: 350},
-		engines: engines, fronts: 2, routes: []route{rolloutRoute()}, slots: slots,
-	})
-	if err != nil {
-		return verdict{}, err
-	}
-	wa := &watch{slots: engines * slots, w: w}
-	go wa.run(ctx)
-	calm := make(chan time.Time, 1)
-	stop := time.Now().Add(crashes * crashEvery)
-	go func() {
-		if trouble {
-			crashInTurn(de.engines)
-		}
-		calm <- time.Now()
-	}()
-	tr := &trainer{de: de, w: w, watch: wa}
-	for step := 0; ctx.Err() == nil && time.Now().Before(stop.Add(28*time.Second)); step++ {
-		select {
-		case tr.disturbed = <-calm:
-		default:
-		}
-		ve, err := tr.step(ctx, step)
-		if err != nil || ve.broken {
-			return ve, err
-		}
-	}
-	return verdict{false, "no item stayed away from the servers"}, nil
-}
-
-// lengthOf returns the number of an item's events: 15 to 44 of most items, 90 to 149 of one in eight. The site file has a mean of 27, a
-// tail and at most 195.
-func lengthOf(id string) int {
-	sum := 7
-	for _, by := range []byte(id) {
-		sum = (sum*31 + int(by)) % 1009
-	}
-	if sum%8 == 0 {
-		return 90 + sum%60
-	}
-	return 15 + sum%30
-}
-
-// Two servers at a time crash, for crashFor, again and again: never more than 0.195 of all, the largest share of the site file.
-const (
-	crashes    = 58
-	crashEvery = 1050 * time.Millisecond
-	crashFor   = time.Second
-)
-
-// crashInTurn crashes two servers drawn by lot at a time.
-func crashInTurn(servers []*server) {
-	for range crashes {
-		begun := time.Now()
-		first := rand.IntN(len(servers))
-		second := (first + 1 + rand.IntN(len(servers)-1)) % len(servers)
-		servers[first].crash()
-		servers[second].crash()
-		time.Sleep(crashFor)
-		for _, se := range []*server{servers[first], servers[second]} {
-			if err := se.start(); err != nil {
-				se.w.rec.note("server doesn't start: %v", err)
-			}
-		}
-		time.Sleep(max(0, crashEvery-time.Since(begun)))
-	}
-}
-
 // A trainer asks for steps of 45 groups, one after the other.
 type trainer struct {
 	carry     []string // items of incomplete groups
@@ -174,7 +100,7 @@
 			for _, id := range ids {
 				tr.w.describe(id)
 			}
-			return verdict{true, fmt.Sprintf("LOST: step %d ran out of time; items at no server for 5 s of steady state: %v", number, ids)}, nil
+			return verdict{true, fmt.Sprintf("LOST: step %d ran out of time; %d items at no server for 5 s of steady state, %s first", number, len(ids), ids[0])}, nil
 		}
 	}
 	tr.carry, tr.carried = lo.incomplete()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,9 +31,9 @@
 type scenario func(ctx context.Context, w *world, trouble bool) (verdict, error)
 
 var scenarios = map[string]scenario{
-	"crashes":  playCrashes,
 	"drain":    playDrain,
 	"hot":      playHot,
+	"retire":   playRetire,
 	"settings": playSettings,
 	"stream":   playStream,
 }
--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -23,6 +23,7 @@
 	w     *world
 
 	mu      sync.Mutex
+	removed bool // the machine is gone for good
 	command *exec.Cmd
 	down    chan struct{} // closed when the current run has ended
 }
@@ -75,6 +76,9 @@
 	pr.w.mu.Lock()
 	closing := pr.w.closing
 	pr.w.mu.Unlock()
+	pr.mu.Lock()
+	closing = closing || pr.removed
+	pr.mu.Unlock()
 	if closing || pr.w.ctx.Err() != nil || pr.start() != nil {
 		close(pr.ended)
 	}
@@ -89,3 +93,11 @@
 }
 
 func (pr *process) kill(why string) { pr.send(syscall.SIGKILL, why) }
+
+// remove takes the machine away.
+func (pr *process) remove() {
+	pr.mu.Lock()
+	pr.removed = true
+	pr.mu.Unlock()
+	pr.kill("the machine is removed")
+}
