--- a/review/standin/live.go
+++ b/review/standin/live.go
@@ -77,7 +77,7 @@
 	begun := time.Now()
 	consuming, cancel := context.WithCancel(ctx)
 	defer cancel()
-	for i := range 16 {
+	for i := range 30 {
 		go w.consume(consuming, fmt.Sprintf("c%d", i), de.fronts, co)
 	}
 	time.Sleep(15 * time.Second)
