--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# An entry is stopped; consumers send requests on kept channels shortly before it closes them.
+# The settings file of an entry changes, with a SIGHUP, while the entry drains after a SIGTERM.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/wisteriacroft ] && [ -x target/review-standin ] || { echo "build first: deploy/system.toml, review/build.sh" >&2; exit 2; }
-exec target/review-standin drain review/4
+exec target/review-standin settings review/4
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,11 +31,11 @@
 type scenario func(ctx context.Context, w *world, trouble bool) (verdict, error)
 
 var scenarios = map[string]scenario{
-	"drain":    playDrain,
-	"hot":      playHot,
-	"retire":   playRetire,
-	"settings": playSettings,
-	"stream":   playStream,
+	"attendant": playAttendant,
+	"drain":     playDrain,
+	"hot":       playHot,
+	"retire":    playRetire,
+	"settings":  playSettings,
 }
 
 // timeout bounds a whole case.
