--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -o target/review-standin ./review/standin
+go build -o target/review-standin ./review
--- a/review/standin/main.go
+++ b/review/main.go
@@ -55,6 +55,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	// A script may have been started with SIGHUP ignored, as nohup does. Processes that the platform starts have it at its default, which
+	// a signal that is caught here has in the programs started from here.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	re, err := newRecord(filepath.Join(os.Args[2], "record.txt"))
