--- a/cmd/platformhost.go
+++ b/cmd/platformhost.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -29,6 +30,7 @@
 	roleprocess "wisteriacroft/process"
 	"wisteriacroft/quarantine"
 	"wisteriacroft/scale"
+	"wisteriacroft/standby"
 	"wisteriacroft/step"
 	"wisteriacroft/telemetry"
 	"wisteriacroft/usage"
@@ -102,7 +104,7 @@
 
 // codes returns the errors that are preserved in calls between processes.
 func codes() []peer.Code {
-	return append(append(append(append(step.Codes(), usage.Codes()...), scale.Codes()...), allocation.Codes()...),
+	return append(slices.Concat(step.Codes(), usage.Codes(), scale.Codes(), allocation.Codes(), standby.Codes()),
 		peer.Code{Err: directory.ErrNotFeeder, Name: "not-feeder"},
 		peer.Code{Err: directory.ErrOldState, Name: "old-endpoints"})
 }
--- a/cmd/platformschedulercmd.go
+++ b/cmd/platformschedulercmd.go
@@ -32,8 +32,6 @@
 	standbyPatience = 300 * time.Millisecond
 	// releaseTimeout bounds the release of the lease.
 	releaseTimeout = time.Second
-	// markRetryInterval is the interval of attempts to mark an instance as retired.
-	markRetryInterval = 300 * time.Millisecond
 )
 
 // A PlatformSchedulerCmd runs a scheduler on the platform.
@@ -60,7 +58,8 @@
 	sc.Holder.SuspectFunc = sc.IsDead
 	var ps peer.Server
 	sc.Register(&ps)
-	ho.reportUsage(lc, sc, &ps)
+	tasks := []func(context.Context){sc.Run, expire(fw), ho.saveQuarantine()}
+	tasks = append(tasks, ho.reportUsage(sc, &ps)...)
 	la := &scale.LoadAggregator{}
 	al := &allocation.Allocator{Census: la, Log: ho.log, Metrics: ho.metrics, StandingFunc: sc.Holder.Held, WeightsFunc: ho.directory.Weights}
 	al.Register(&ps)
@@ -69,42 +68,33 @@
 		Metrics: ho.metrics, Overshoot: ho.settings.QuotaOvershoot, QuotaFunc: ho.directory.Quota, StandingFunc: sc.Holder.Held,
 	}
 	ts.Register(&ps)
-	ho.scaleEndpoints(lc, &ps, &loadView{aggregator: la, directory: ho.directory, forwarder: fw, scheduler: sc})
+	tasks = append(tasks, ho.scaleEndpoints(&ps, &loadView{aggregator: la, directory: ho.directory, forwarder: fw, scheduler: sc})...)
 	fo := ho.follower(sc.IsLeader)
-	fo.Address, fo.HolderFunc, fo.Patience = ho.settings.PeerAddress, sc.Holder.OtherHolder, standbyPatience
+	rt := ho.retirement(sc)
+	rt.Member.Tasks = append(tasks, fo.Run, rt.Roster.Run)
+	rt.Roster.Register(&ps)
+	fo.Address, fo.HolderFunc, fo.Patience = ho.settings.PeerAddress, rt.Member.Holder, standbyPatience
 	fo.Own = platform.RetireKey(ho.settings.Instance)
-	ho.metrics.NewGauge("wisteriacroft_feed_substitute", func() float64 {
-		if fo.Substitutes() {
-			return 1
-		}
-		return 0
-	})
+	ho.metrics.NewGauge("wisteriacroft_feed_substitute", func() float64 { return indicator(fo.Substitutes()) })
 	ho.metrics.NewGauge("wisteriacroft_exchange_lateness_seconds", func() float64 { return sc.ExchangeLateness().Seconds() })
 	directory.RegisterFeed(&ps, fo, uuid.NewString())
-	fo.OperatorFunc = func(it keyvalue.Item) {
-		if it.Key == fo.Own {
-			go ho.retire(sc)
-		}
-	}
-	background(lc, sc.Run)
-	background(lc, fo.Run)
-	background(lc, expire(fw))
-	background(lc, ho.saveQuarantine())
+	fo.OperatorFunc = func(it keyvalue.Item) { ho.handleRetirement(rt, it.Key) }
+	background(lc, rt.Member.Run)
 	ho.serveMetrics(lc)
 	ho.servePeers(lc, &ps)
 	// The scheduler stops first, so that another one takes over while this process still
 	// responds to calls.
 	lc.Append(fx.Hook{OnStop: func(ctx context.Context) error {
-		sc.StepDown()
+		sc.Holder.Abstain(true)
 		return release(ctx, sc)
 	}})
 }
 
-// reportUsage collects the counts of entries, and reports them while the process holds the
+// reportUsage returns the tasks that collect the counts of entries, and report them while the process holds the
 // scheduler's lease.
-func (ho *host) reportUsage(lc fx.Lifecycle, sc *step.Scheduler, ps *peer.Server) {
+func (ho *host) reportUsage(sc *step.Scheduler, ps *peer.Server) []func(context.Context) {
 	if ho.settings.UsageAddress == "" {
-		return
+		return nil
 	}
 	co := &usage.Collector{
 		Client: ho.store, FenceFunc: sc.Holder.Fence, Log: ho.log, Metrics: ho.metrics, Overlap: ho.settings.UsageOverlap,
@@ -113,14 +103,14 @@
 	}
 	sc.WallFunc = co.AddClockSample
 	co.Register(ps)
-	background(lc, co.Run)
+	return []func(context.Context){co.Run}
 }
 
-// scaleEndpoints sends scaling orders by the load of steps and entries while the process
+// scaleEndpoints returns the tasks that send scaling orders by the load of steps and entries while the process
 // holds the scheduler's lease.
-func (ho *host) scaleEndpoints(lc fx.Lifecycle, ps *peer.Server, lv *loadView) {
+func (ho *host) scaleEndpoints(ps *peer.Server, lv *loadView) []func(context.Context) {
 	if ho.settings.ScaleAddress == "" {
-		return
+		return nil
 	}
 	sc := &scale.Scaler{
 		Census: lv.aggregator,
@@ -136,7 +126,7 @@
 		},
 	}
 	sc.Register(ps)
-	background(lc, sc.Run)
+	return []func(context.Context){sc.Run}
 }
 
 // release releases the lease, so that another scheduler can acquire it at once.
@@ -146,21 +136,10 @@
 	return sc.Holder.Release(ctx)
 }
 
-// retire drains the instance at the operator's request: it releases the lease, the only
-// state of the instance, and then marks the instance as retired.
-func (ho *host) retire(sc *step.Scheduler) {
-	ctx := context.Background()
-	ho.log.Info("retiring the instance")
-	sc.StepDown()
-	if err := release(ctx, sc); err != nil {
-		ho.log.WithError(err).Warn("releasing the lease failed; it will expire")
-	}
-	for {
-		err := platform.MarkRetired(ctx, ho.store, ho.settings.Instance)
-		ho.log.WithField("error", err).Info("marking the instance as retired")
-		if err == nil {
-			return
-		}
-		time.Sleep(markRetryInterval)
+// indicator returns the value of a gauge that shows whether something holds.
+func indicator(holds bool) float64 {
+	if holds {
+		return 1
 	}
+	return 0
 }
--- a/cmd/process_test.go
+++ b/cmd/process_test.go
@@ -143,32 +143,43 @@
 }
 
 // program returns a command that runs the test binary as the program.
-func (de *deployment) program(args ...string) *exec.Cmd {
+func program(t *testing.T, args ...string) *exec.Cmd {
+	t.Helper()
 	path, err := os.Executable()
-	assert.NilError(de, err)
+	assert.NilError(t, err)
 	return &exec.Cmd{Path: path, Args: append([]string{programName}, args...)}
 }
 
-// start starts a process and kills it at the end of the test.
-func (de *deployment) start(name string, args ...string) {
-	pr := &process{Cmd: de.program(args...), done: make(chan struct{})}
+// startProcess starts the program with more variables than the test's, and kills it at the end of the test.
+func startProcess(t *testing.T, name string, args []string, env ...string) *process {
+	t.Helper()
+	pr := &process{Cmd: program(t, args...), done: make(chan struct{})}
 	log := &lockedBuffer{}
-	pr.Stderr = log
-	assert.NilError(de, pr.Start())
-	de.processes[name] = pr
+	pr.Env, pr.Stderr, pr.Stdout = append(os.Environ(), env...), log, log
+	assert.NilError(t, pr.Start())
 	go func() {
 		pr.err = pr.Wait()
 		close(pr.done)
-		if !pr.expected.Load() {
-			de.ended <- name
-		}
 	}()
-	de.Cleanup(func() {
+	t.Cleanup(func() {
 		_ = pr.end(syscall.SIGKILL)
-		if de.Failed() {
-			de.Logf("log of %s:\n%s", name, log.tail())
+		if t.Failed() {
+			t.Logf("log of %s:\n%s", name, log.tail())
 		}
 	})
+	return pr
+}
+
+// start starts a process of the deployment.
+func (de *deployment) start(name string, args ...string) {
+	pr := startProcess(de.T, name, args)
+	de.processes[name] = pr
+	go func() {
+		<-pr.done
+		if !pr.expected.Load() {
+			de.ended <- name
+		}
+	}()
 }
 
 // end sends a signal that ends a process, and returns the result of Wait.
@@ -186,7 +197,7 @@
 
 // operate runs an operator's command and returns its output and exit code.
 func (de *deployment) operate(args ...string) (string, int) {
-	co := de.program(args...)
+	co := program(de.T, args...)
 	co.Env = append(os.Environ(), "USER=operator", "WISTERIACROFT_PLATFORM=http://"+de.addresses["platform"])
 	stderr := &bytes.Buffer{}
 	co.Stderr = stderr
--- a/cmd/session_test.go
+++ b/cmd/session_test.go
@@ -109,7 +109,7 @@
 	status, again := de.call("entry2", "/v1/services/order-desk/call"+path, "order-line", headersOf(key), "two sacks of flour")
 	de.record("order line, by entry2 again: %d, the same answer: %t, runs: %d", status, first == again, de.counts().Paths[path])
 
-	trainer := de.program("stand-in", "trainer", "--settings", de.write("trainer.toml", map[string]string{"steps": "1"}))
+	trainer := program(de.T, "stand-in", "trainer", "--settings", de.write("trainer.toml", map[string]string{"steps": "1"}))
 	out, err := trainer.Output()
 	assert.NilError(t, err)
 	de.record("$ wisteriacroft stand-in trainer\n%s", out)
--- a/cmd/sessionfaults_test.go
+++ b/cmd/sessionfaults_test.go
@@ -32,7 +32,7 @@
 // sample was delivered exactly once.
 func (de *deployment) runTrainer(injectFault func()) {
 	var out, errs bytes.Buffer
-	trainer := de.program("stand-in", "trainer", "--settings", de.write("trainer.toml", map[string]string{"steps": "3"}))
+	trainer := program(de.T, "stand-in", "trainer", "--settings", de.write("trainer.toml", map[string]string{"steps": "3"}))
 	trainer.Stdout, trainer.Stderr = &out, &errs
 	assert.NilError(de, trainer.Start())
 	de.Cleanup(func() { _ = trainer.Process.Kill() })
--- a/cmd/soakcmd_test.go
+++ b/cmd/soakcmd_test.go
@@ -16,7 +16,7 @@
 	t.Helper()
 	dir := t.TempDir()
 	de := &deployment{T: t}
-	cmd := de.program(append([]string{"soak", "--dir", dir}, args...)...)
+	cmd := program(de.T, append([]string{"soak", "--dir", dir}, args...)...)
 	cmd.Stderr = os.Stderr
 	out, err := cmd.Output()
 	if err != nil {
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -20,7 +20,7 @@
 func (ho *Holder) acquire(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, ho.TTL)
 	defer cancel()
-	if former, ve, free := ho.readHolder(ctx); free {
+	if former, ve, free := ho.readHolder(ctx); free && ho.mayClaim() {
 		ho.claim(ctx, former, ve)
 	}
 }
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -66,6 +66,7 @@
 
 	mu          sync.Mutex // guards the fields up to stepping, and the creation of channels
 	lostHolder  Record     // of the holder when the service became unavailable
+	abstains    bool
 	grant       grant
 	wakes       chan struct{} // makes Run step at once
 	otherRecord Record        // of another holder, as last read
@@ -161,6 +162,21 @@
 	}
 }
 
+// Abstain sets whether Run and Step leave a free lease to other processes. An acquisition that is under way is not
+// affected; Release waits for its end.
+func (ho *Holder) Abstain(abstain bool) {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	ho.abstains = abstain
+}
+
+// mayClaim reports whether the process may acquire a free lease.
+func (ho *Holder) mayClaim() bool {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	return !ho.abstains
+}
+
 // Run acquires and renews the lease until ctx ends. It does not release it.
 //
 // Each holder steps at a phase of its own, to prevent all of them from trying to acquire a free
@@ -246,7 +262,7 @@
 	}
 }
 
-// Release releases the lease, so that another process can acquire it at once. End Run first, or it
+// Release releases the lease, so that another process can acquire it at once. Call Abstain first, or Run
 // acquires the lease again.
 func (ho *Holder) Release(ctx context.Context) error {
 	if err := ho.lock(ctx); err != nil {
--- a/step/scheduler.go
+++ b/step/scheduler.go
@@ -82,7 +82,6 @@
 	WallFunc func(instance string, wall int64)
 
 	archive          archive
-	cancelHolder     context.CancelFunc
 	stepAccepted     chan struct{} // wakes Run after a step was accepted
 	measuredServices map[string]ServiceLoad
 	mu               sync.Mutex
@@ -118,27 +117,17 @@
 	return sc.term != nil
 }
 
-// StepDown stops the scheduler from acquiring the lease again.
-func (sc *Scheduler) StepDown() {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	if sc.cancelHolder != nil {
-		sc.cancelHolder()
-	}
-}
-
-// Run runs the steps whenever the lease is held, until ctx ends.
+// Run runs the steps whenever the lease is held, until ctx ends. It can be called again afterwards.
 func (sc *Scheduler) Run(ctx context.Context) {
-	holding, cancel := context.WithCancel(ctx)
-	defer cancel()
 	sc.mu.Lock()
-	sc.cancelHolder = cancel
 	sc.stepAccepted = make(chan struct{}, 1)
 	accepted := sc.stepAccepted
 	sc.mu.Unlock()
 	resumed := make(chan struct{}, 1)
 	sc.Holder.HeldFunc = func() { notify(resumed) }
-	go sc.Holder.Run(holding)
+	var holding sync.WaitGroup
+	defer holding.Wait()
+	holding.Go(func() { sc.Holder.Run(ctx) })
 	ti := time.NewTicker(tickInterval)
 	defer ti.Stop()
 	// In its own goroutine: removing keys may block, which must not delay placement.
