--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"runtime/debug"
 	"strings"
@@ -53,16 +54,37 @@
 	Stdout io.Writer
 }
 
+// Hangups receives the process's SIGHUPs. It is nil in a process that has none to expect.
+type Hangups <-chan os.Signal
+
 // Main runs the command in args and returns its exit code. SIGINT and SIGTERM shut a
-// long-running command down gracefully.
+// long-running command down gracefully, and so does SIGHUP, but for the roles on the users' platform, which reload
+// their settings.
+//
+// No signal gets its default action back before the process ends: it would cut requests that a
+// process which shuts down still serves.
 func Main(args []string, stdout, stderr io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	return int(run(ctx, args, Output{Stderr: stderr, Stdout: stdout}))
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	return int(run(ctx, hangups, args, Output{Stderr: stderr, Stdout: stdout}))
+}
+
+// endOnHangup returns a context that also ends at a hangup.
+func endOnHangup(ctx context.Context, hangups Hangups) context.Context {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-hangups:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx
 }
 
 // run runs a command until it ends or ctx is done.
-func run(ctx context.Context, args []string, out Output) ExitCode {
+func run(ctx context.Context, hangups Hangups, args []string, out Output) ExitCode {
 	parsed := parser{out: out}
 	command, err := parsed.parse(args)
 	if parsed.helpPrinted {
@@ -72,9 +94,13 @@
 		report(out.Stderr, err)
 		return ExitBadInput
 	}
+	if !strings.HasPrefix(command.Command(), "platform ") {
+		ctx = endOnHangup(ctx, hangups)
+	}
 	command.BindTo(ctx, (*context.Context)(nil))
 	command.BindTo(out.Stdout, (*io.Writer)(nil))
 	command.Bind(
+		hangups,
 		out,
 		&ProfileEnv{OpenFunc: openKeyValue, Stdout: out.Stdout},
 		&StatusEnv{AskFunc: askProcess, ListFunc: listInstances, Stdout: out.Stdout},
--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -38,8 +38,14 @@
 	testscript.Run(t, testscript.Params{Files: files})
 }
 
-// TestSignal checks that SIGTERM shuts a process down gracefully, with exit code 0.
+// TestSignal checks that a signal shuts a process down gracefully, with exit code 0.
 func TestSignal(t *testing.T) {
+	for _, si := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP} {
+		t.Run(si.String(), func(t *testing.T) { testSignal(t, si) })
+	}
+}
+
+func testSignal(t *testing.T, si syscall.Signal) {
 	path := filepath.Join(t.TempDir(), "entry.toml")
 	assert.NilError(t, os.WriteFile(path, golden.Get(t, "entry.toml"), 0o600))
 	program, err := os.Executable()
@@ -59,7 +65,7 @@
 	session := "GET /healthz: " + get(t, "http://"+strings.Trim(admin, `"`)+"/healthz") +
 		"GET /readyz: " + get(t, "http://"+strings.Trim(admin, `"`)+"/readyz") +
 		withoutTime(strings.ReplaceAll(started, admin, "ADDRESS"))
-	assert.NilError(t, process.Process.Signal(syscall.SIGTERM))
+	assert.NilError(t, process.Process.Signal(si))
 	for lines.Scan() {
 		// The number of warnings about the missing platform varies.
 		if !strings.Contains(lines.Text(), "level=warning") {
@@ -122,7 +128,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			out := Output{Stderr: io.Discard, Stdout: io.Discard}
-			assert.Equal(t, run(t.Context(), strings.Fields(tc.args), out), tc.want)
+			assert.Equal(t, run(t.Context(), nil, strings.Fields(tc.args), out), tc.want)
 		})
 	}
 }
--- a/cmd/loadcmd_test.go
+++ b/cmd/loadcmd_test.go
@@ -77,7 +77,7 @@
 // run runs a command and returns its output and exit code.
 func (os *operatorStore) run(args ...string) string {
 	var out bytes.Buffer
-	code := run(os.Context(), append(args, "--store", os.address), Output{Stderr: &out, Stdout: &out})
+	code := run(os.Context(), nil, append(args, "--store", os.address), Output{Stderr: &out, Stdout: &out})
 	text := strings.ReplaceAll(out.String(), os.address, "STORE")
 	return "$ wisteriacroft " + strings.Join(args, " ") + "\n" + text + "exit code " + string('0'+rune(code)) + "\n"
 }
--- a/cmd/platformattendantcmd.go
+++ b/cmd/platformattendantcmd.go
@@ -17,8 +17,9 @@
 type PlatformAttendantCmd struct{ PlatformFlags }
 
 // Run serves until ctx is done.
-func (pc *PlatformAttendantCmd) Run(ctx context.Context, out Output) error {
-	return pc.serve(ctx, out, "attendant", func(ho *host) fx.Option { return fx.Invoke(ho.startAttendant) })
+func (pc *PlatformAttendantCmd) Run(ctx context.Context, hangups Hangups, out Output) error {
+	build := func(ho *host) fx.Option { return fx.Invoke(ho.startAttendant) }
+	return pc.serve(ctx, platformRole{build: build, hangups: hangups, name: "attendant", out: out})
 }
 
 // startAttendant adds an attendant's parts to the app.
--- a/cmd/platformcmd.go
+++ b/cmd/platformcmd.go
@@ -21,12 +21,21 @@
 	Check bool `help:"Read the settings, report all findings and end without starting."`
 }
 
+// A platformRole is a role on the platform, with what its process has from outside.
+type platformRole struct {
+	build   func(ho *host) fx.Option
+	hangups Hangups
+	name    string
+	out     Output
+}
+
 // serve runs a role until ctx is done.
-func (pf PlatformFlags) serve(ctx context.Context, out Output, role string, build func(ho *host) fx.Option) error {
+func (pf PlatformFlags) serve(ctx context.Context, ro platformRole) error {
 	se, err := platform.LoadSettings()
 	if err != nil || pf.Check {
 		return err
 	}
-	ho := newHost(role, se, out.Stdout)
-	return ho.run(ctx, build(ho))
+	ho := newHost(ro.name, se, ro.out.Stdout)
+	go ho.reload(ro.hangups)
+	return ho.run(ctx, ro.build(ho))
 }
--- a/cmd/platformentrycmd.go
+++ b/cmd/platformentrycmd.go
@@ -32,8 +32,9 @@
 type PlatformEntryCmd struct{ PlatformFlags }
 
 // Run serves until ctx is done.
-func (pc *PlatformEntryCmd) Run(ctx context.Context, out Output) error {
-	return pc.serve(ctx, out, "entry", func(ho *host) fx.Option { return fx.Invoke(ho.startEntry) })
+func (pc *PlatformEntryCmd) Run(ctx context.Context, hangups Hangups, out Output) error {
+	build := func(ho *host) fx.Option { return fx.Invoke(ho.startEntry) }
+	return pc.serve(ctx, platformRole{build: build, hangups: hangups, name: "entry", out: out})
 }
 
 // startEntry adds an entry's parts to the app.
--- a/cmd/platformhost.go
+++ b/cmd/platformhost.go
@@ -5,12 +5,9 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"runtime/debug"
 	"slices"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -144,18 +141,10 @@
 	return fo
 }
 
-// reload reloads the settings at each SIGHUP. It applies the memory limit only; addresses
-// stay, since connections depend on them.
-func (ho *host) reload(ctx context.Context) {
-	hups := make(chan os.Signal, 1)
-	signal.Notify(hups, syscall.SIGHUP)
-	defer signal.Stop(hups)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hups:
-		}
+// reload reloads the settings at each SIGHUP, while the process starts and drains too. It applies the memory limit only;
+// addresses stay, since connections depend on them.
+func (ho *host) reload(hangups Hangups) {
+	for range hangups {
 		se, err := platform.LoadSettings()
 		if err != nil {
 			ho.log.WithError(err).Error("reloading settings failed; keeping the current ones")
@@ -177,7 +166,6 @@
 	if err := start(ctx, app); err != nil {
 		return errors.Wrap(err, "start the process")
 	}
-	go ho.reload(ctx)
 	ho.log.WithField("memory", ho.settings.MemoryLimit).Info("started")
 	<-ctx.Done()
 	ho.log.Info("stopping")
--- a/cmd/platformschedulercmd.go
+++ b/cmd/platformschedulercmd.go
@@ -38,8 +38,9 @@
 type PlatformSchedulerCmd struct{ PlatformFlags }
 
 // Run serves until ctx is done.
-func (pc *PlatformSchedulerCmd) Run(ctx context.Context, out Output) error {
-	return pc.serve(ctx, out, "scheduler", func(ho *host) fx.Option { return fx.Invoke(ho.startScheduler) })
+func (pc *PlatformSchedulerCmd) Run(ctx context.Context, hangups Hangups, out Output) error {
+	build := func(ho *host) fx.Option { return fx.Invoke(ho.startScheduler) }
+	return pc.serve(ctx, platformRole{build: build, hangups: hangups, name: "scheduler", out: out})
 }
 
 // startScheduler adds a scheduler's parts to the app.
--- a/cmd/platformworld_test.go
+++ b/cmd/platformworld_test.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"wisteriacroft/directory"
 	"wisteriacroft/lease"
 	"wisteriacroft/platform"
 	"wisteriacroft/platform/standin"
@@ -19,8 +21,11 @@
 
 // Ports of each instance of a platformWorld; the internal ones begin at platformPort.
 const (
-	platformPort     = 7300
-	platformCallPort = platformPort + 2
+	platformPort      = 7300
+	platformCallPort  = platformPort + 2
+	platformReadyPort = platformPort + 3
+
+	platformMetricsPort = 9464
 )
 
 // A platformWorld is a stand-in for the users' platform, with the program's roles on it, each in its own
@@ -67,6 +72,59 @@
 	return ip
 }
 
+// signal sends a signal to an instance's process.
+func (pw *platformWorld) signal(instance string, si syscall.Signal) {
+	pw.Helper()
+	assert.NilError(pw, pw.processes[instance].Process.Signal(si))
+}
+
+// endpoint registers a plain endpoint that a handler serves, with a route to it under callPath.
+func (pw *platformWorld) endpoint(ha http.Handler) {
+	const service = "desk"
+	ro := directory.Route{
+		Goal: callTimeout, Host: callHost, Kind: directory.Repeatable, MaxAttempts: 2, Name: "call", Prefix: callPath,
+		Shares: []directory.WeightedService{{Service: service}}, Timeout: callTimeout,
+	}
+	co := directory.Configuration{
+		Limits: directory.Limits{BodySize: 1 << 20}, Routes: []directory.Route{ro}, Services: []directory.Service{{Name: service}},
+		Version: 1,
+	}
+	pw.operator.Configure(pw.Context(), co)
+	pw.operator.Register(pw.Context(), directory.Endpoint{
+		Address: pw.serve(pw.ip(), ha), Domain: "a", ID: "desk-1", Service: service, Slots: 8,
+	})
+}
+
+// Names and times of the route that endpoint configures.
+const (
+	callHost    = "calls.example"
+	callPath    = "/call/"
+	callTimeout = 20 * time.Second
+)
+
+// readiness returns the status of an entry's readiness check, or 0 if it doesn't respond.
+func (pw *platformWorld) readiness(ip string) int {
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d/", ip, platformReadyPort))
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// waitForEntry waits until the entry at an IP is ready.
+func (pw *platformWorld) waitForEntry(ip string) {
+	pw.Helper()
+	pw.waitFor("the entry at "+ip, func() bool { return pw.readiness(ip) == http.StatusOK })
+}
+
+// client returns a caller with connections of its own to an entry.
+func (pw *platformWorld) client(ip string) *standin.Client {
+	tr := &http.Transport{}
+	pw.Cleanup(tr.CloseIdleConnections)
+	return &standin.Client{Base: fmt.Sprintf("http://%s:%d", ip, platformCallPort), HTTP: &http.Client{Transport: tr}, Host: callHost}
+}
+
 // waitFor waits for a condition.
 func (pw *platformWorld) waitFor(what string, holds func() bool) {
 	pw.Helper()
