--- a/cmd/platformentrycmd.go
+++ b/cmd/platformentrycmd.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -18,11 +18,6 @@
 )
 
 const (
-	// drainDelay is how long a stopping entry still accepts connections: the balancer
-	// checks readiness every second and removes an entry after the second failure.
-	drainDelay = 3500 * time.Millisecond
-	// drainPollInterval is how often a stopping entry checks whether it is idle.
-	drainPollInterval = 50 * time.Millisecond
 	// stepRetryDelay is the Retry-After of a rejected step. It is short, since another entry
 	// may reach the service and trainers retry only for a few seconds.
 	stepRetryDelay = 500 * time.Millisecond
@@ -53,22 +48,25 @@
 		Live:       fo,
 		RetryAfter: stepRetryDelay,
 	}
-	ga := &gateway{handler: sh.Handler()}
+	requests, giveUp := context.WithCancel(context.Background())
+	ga := &gateway{giveUp: giveUp, handler: sh.Handler()}
+	fo.EndFunc = ga.end
 	background(lc, ho.follower(func() bool { return false }).Run)
 	background(lc, expire(fo))
 	background(lc, ho.saveQuarantine())
 	ho.serveMetrics(lc)
-	sv := roleprocess.NewHTTPServer(roleprocess.CloseConnectionsWhile(ga.stopping.Load, ga))
+	sv := roleprocess.NewHTTPServer(roleprocess.CloseConnectionsWhile(ga.stopping, ga))
+	sv.BaseContext = func(net.Listener) context.Context { return requests }
 	ho.guard().Protect(sv)
 	serve(lc, ho.settings.CallerAddress, sv, func(ctx context.Context) error {
 		ga.drain(ctx)
 		return sv.Shutdown(ctx)
 	})
 	ready := roleprocess.NewHTTPServer(
-		platform.Readiness(func() bool { return !ga.stopping.Load() && ho.directory.Ready() && !ho.directory.CutOff(time.Now()) }))
+		platform.Readiness(func() bool { return !ga.stopping() && ho.directory.Ready() && !ho.directory.CutOff(time.Now()) }))
 	// The readiness server stops last, so that the balancer sees that the entry is not ready.
-	lc.Append(fx.Hook{OnStop: func(context.Context) error {
-		ga.stopping.Store(true)
+	lc.Append(fx.Hook{OnStop: func(ctx context.Context) error {
+		ga.stop(ctx)
 		return nil
 	}})
 	serve(lc, ho.settings.ReadyAddress, ready, func(context.Context) error { return nil })
@@ -136,29 +134,3 @@
 		},
 	}
 }
-
-// A gateway counts running requests.
-type gateway struct {
-	handler  http.Handler
-	open     atomic.Int64
-	stopping atomic.Bool
-}
-
-// ServeHTTP implements http.Handler.
-func (ga *gateway) ServeHTTP(rw http.ResponseWriter, hr *http.Request) {
-	ga.open.Add(1)
-	defer ga.open.Add(-1)
-	ga.handler.ServeHTTP(rw, hr)
-}
-
-// drain waits until the balancer has removed the entry and no request runs, or ctx is done.
-func (ga *gateway) drain(ctx context.Context) {
-	ga.stopping.Store(true)
-	end := time.Now().Add(drainDelay)
-	for ctx.Err() == nil && (time.Now().Before(end) || ga.open.Load() > 0) {
-		select {
-		case <-ctx.Done():
-		case <-time.After(drainPollInterval):
-		}
-	}
-}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -57,6 +57,8 @@
 	// CustomerBound returns how many slots of a service this process may use for a customer; nil or a
 	// negative result means no limit.
 	CustomerBound func(customer, service string) int
+	// EndFunc returns when the process stops serving, or zero while it isn't stopping. Nil means that it never does.
+	EndFunc func() time.Time
 	// Budget limits the attempts after the first.
 	Budget *retry.Budget
 	// QuotaFunc uses one request of a customer's quota, in requests a second, or returns after how long
--- a/forward/request.go
+++ b/forward/request.go
@@ -131,7 +131,11 @@
 	if rj := fo.readBody(rw, hr, rq, co.Limits.BodySize); rj != nil {
 		return nil, rj
 	}
-	if rj := fo.useQuota(hr.Context(), gr.Customer); rj != nil {
+	rj := fo.stopping(rq)
+	if rj == nil {
+		rj = fo.useQuota(hr.Context(), gr.Customer)
+	}
+	if rj != nil {
 		fo.releaseMemory(rq)
 		return nil, rj
 	}
