Step, quarantine: an item under which engines crashed is owed all the same

Users saw, and so do we: sound items under which several engines crashed by chance were never placed again; their steps ran to the deadline without them. Cause: ends of engines counted as strikes against the item; two young ones had it tried alone, an end in the trial counted six, and six barred it for 24 hours. Reward calls shared the live requests' quarantine (three ends, 24 hours). Change: strikes, trials, rests and bars of items are taken out whole, with their tests, log fields, reason and pages, as an item that is handed in for later never crashes servers by itself. Reward calls are exempt. Live requests keep their rule.

--- a/cmd/platformschedulercmd.go
+++ b/cmd/platformschedulercmd.go
@@ -54,7 +54,7 @@
 		},
 		Holds: &hold.Store{Client: ho.store}, Keep: ho.settings.KeepResults, Keeper: &step.Store{Client: ho.store, Log: ho.log}, Log: ho.log,
 		Metrics:  ho.metrics,
-		PeerPort: ho.settings.PeerPort, Pool: ho.pool, Quarantine: ho.quarantine,
+		PeerPort: ho.settings.PeerPort, Pool: ho.pool,
 	}
 	sc.Holder.SuspectFunc = sc.IsDead
 	var ps peer.Server
--- a/cmd/quarantinecmd.go
+++ b/cmd/quarantinecmd.go
@@ -18,10 +18,10 @@
 // errNoStore means that neither flag for a key-value service was set.
 var errNoStore = errors.New("name the key-value service by --platform, or that of the users' platform by --store")
 
-// A QuarantineCmd holds the commands to list and lift quarantined requests and items.
+// A QuarantineCmd holds the commands to list and lift quarantined requests.
 type QuarantineCmd struct {
-	Lift QuarantineLiftCmd `cmd:"" help:"Let a request or an item be sent to endpoints again."`
-	List QuarantineListCmd `cmd:"" help:"List requests and items under which endpoints ended."`
+	Lift QuarantineLiftCmd `cmd:"" help:"Let a request be sent to endpoints again."`
+	List QuarantineListCmd `cmd:"" help:"List requests under which endpoints ended."`
 }
 
 // QuarantineFlags are the flags for the service that stores the records.
@@ -50,7 +50,7 @@
 	return st, nil
 }
 
-// A QuarantineListCmd lists quarantined requests and items.
+// A QuarantineListCmd lists quarantined requests.
 type QuarantineListCmd struct {
 	QuarantineFlags
 	Output string `default:"table" enum:"table,json" help:"Form of the output: table or json."`
@@ -85,14 +85,14 @@
 	return pr.err
 }
 
-// A QuarantineLiftCmd lifts the quarantine of one request or item.
+// A QuarantineLiftCmd lifts the quarantine of one request.
 type QuarantineLiftCmd struct {
 	QuarantineFlags
-	Digest string `arg:"" help:"Digest of the request or item, as logs and list name it."`
+	Digest string `arg:"" help:"Digest of the request, as logs and list name it."`
 	DryRun bool   `help:"Say what would be lifted, and change nothing."`
 }
 
-// Run lifts the quarantine. It fails if the request or item is not quarantined.
+// Run lifts the quarantine. It fails if the request is not quarantined.
 func (qc *QuarantineLiftCmd) Run(ctx context.Context, env *ProfileEnv) error {
 	st, err := qc.openStore(env)
 	if err != nil {
--- a/cmd/soakcmd.go
+++ b/cmd/soakcmd.go
@@ -21,7 +21,7 @@
 // A SoakCmd runs the roles as processes against stand-ins, with injected faults.
 type SoakCmd struct {
 	Bounds  bool          `help:"Check, in a quiet run, what a slow machine can break: what trainers and a small customer get."`
-	Crashes bool          `help:"Send a request that ends each plain endpoint that runs it again and again, and an item that ends engines."`
+	Crashes bool          `help:"Send a request that ends each plain endpoint that runs it again and again, and end engines under an item."`
 	Dir     string        `help:"Folder for settings and logs." placeholder:"DIR" required:""`
 	Engines int           `default:"6" help:"Engines, with an attendant each."`
 	Entries int           `default:"3" help:"Entries."`
--- a/forward/call.go
+++ b/forward/call.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 
 	"wisteriacroft/directory"
-	"wisteriacroft/quarantine"
 )
 
 // callTimeout is the timeout of a call whose route has none. It is several times the latency of even
@@ -79,7 +78,6 @@
 		route: ro, service: pickShare(ro.Shares), target: ca.Path,
 	}
 	fo.Headers.identify(rq.header, rq.customer, true)
-	rq.digest = quarantine.DigestOf(rq.customer, rq.host, rq.method, rq.target, rq.body)
 	rq.setDeadline(callTimeout)
 	ctx, answered := withDeadline(ctx, rq.deadline)
 	fo.Budget.Deposit()
--- a/forward/call_test.go
+++ b/forward/call_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"wisteriacroft/directory"
+	"wisteriacroft/quarantine"
 	"wisteriacroft/retry"
 	"wisteriacroft/roundtrip"
 )
@@ -204,3 +205,15 @@
 		}
 	}
 }
+
+// Failure: endpoints crash by chance under a reward call, and its item never gets its score.
+func TestCallUnderWhichEndpointsCrashedIsSent(t *testing.T) {
+	de := deploy(t, directory.Route{MaxAttempts: 2}, succeeding)
+	ca := rewardCall()
+	di := quarantine.DigestOf(ca.Customer, ca.Host, http.MethodPost, ca.Path, ca.Body)
+	for _, endpoint := range []string{"a", "b", "c", "d"} {
+		de.forwarder.quarantine().RecordCrash(di, endpoint, time.Now())
+	}
+	re := de.forwarder.Call(t.Context(), ca)
+	assert.Equal(t, re.Outcome(), "answered")
+}
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -17,9 +17,10 @@
 	if !errors.Is(re.err, errIncomplete) || !roundtrip.Ended(ctx, re.endpoint.Address) {
 		return
 	}
-	start := fmt.Sprintf("%s/%d", re.endpoint.ID, re.endpoint.Incarnation)
 	now := time.Now()
-	fo.quarantine().RecordCrash(rq.digest, start, now)
+	if !rq.internal {
+		fo.quarantine().RecordCrash(rq.digest, fmt.Sprintf("%s/%d", re.endpoint.ID, re.endpoint.Incarnation), now)
+	}
 	ve := fo.quarantine().Check(rq.digest, now)
 	fo.Log.WithFields(logrus.Fields{
 		customerField: rq.customer, digestField: rq.digest, "endpoint": re.endpoint.ID, "held-ms": ve.HeldFor.Milliseconds(), "ms": re.took.Milliseconds(),
@@ -39,8 +40,12 @@
 // checkQuarantine returns whether a request is quarantined, and logs and counts it if so.
 //
 // A client that retries a request which crashes endpoints uses a new ID and any entry. If each retry
-// were forwarded, it would crash all endpoints of the service.
+// were forwarded, it would crash all endpoints of the service. Internal calls belong to accepted work, which
+// is owed and doesn't crash endpoints.
 func (fo *Forwarder) checkQuarantine(rq *request) quarantine.Verdict {
+	if rq.internal {
+		return quarantine.Verdict{}
+	}
 	ve := fo.quarantine().Check(rq.digest, time.Now())
 	if ve.Held() {
 		fo.Log.WithFields(logrus.Fields{
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -207,10 +207,10 @@
 // mayHedge reports whether a request may be hedged: not if it may have crashed endpoints, nor while
 // others wait for capacity.
 func (fo *Forwarder) mayHedge(rq *request) bool {
-	if !rq.repeatable() || fo.quarantine().Check(rq.digest, time.Now()).Suspect() {
-		return false
+	if rq.internal || !rq.repeatable() {
+		return rq.repeatable()
 	}
-	return rq.internal || !fo.contended(rq.service)
+	return !fo.quarantine().Check(rq.digest, time.Now()).Suspect() && !fo.contended(rq.service)
 }
 
 // mayRetry reports whether one more attempt is allowed, and takes it from the budget.
@@ -255,7 +255,7 @@
 			At: now, Load: lo, Refused: full, Slots: re.endpoint.Slots, Target: admission.LatencyTarget(rq.route.Goal), Told: ok, Took: re.took,
 		})
 		fo.setLimitMetric(id, limit)
-		if !re.notRun && re.stream == nil {
+		if !rq.internal && !re.notRun && re.stream == nil {
 			fo.quarantine().RecordSuccess(rq.digest, now)
 		}
 	}
--- a/forward/request.go
+++ b/forward/request.go
@@ -20,9 +20,9 @@
 	body      []byte
 	customer  string // "" if callers need no key
 	deadline  time.Time
-	digest    quarantine.Digest
-	header    http.Header // end-to-end headers
-	heldBytes int64       // of the body and the response, counted in the forwarder's memory
+	digest    quarantine.Digest // empty for an internal call
+	header    http.Header       // end-to-end headers
+	heldBytes int64             // of the body and the response, counted in the forwarder's memory
 	host      string
 	id        string
 	remaining time.Duration // from the caller's deadline header, or 0
--- a/overview/overview.go
+++ b/overview/overview.go
@@ -27,7 +27,6 @@
 	NoneServes      Reason = "engines leave or don't answer"
 	NoVersion       Reason = "no engine has the version"
 	OwnLength       Reason = "length of an item"
-	Quarantined     Reason = "engines ended under items"
 	Scoring         Reason = "waits for scores"
 	StoreAway       Reason = "key-value service away"
 	ToBeListed      Reason = "waits to be listed"
--- a/overview/snapshot.go
+++ b/overview/snapshot.go
@@ -58,7 +58,7 @@
 // blocked reports whether an item waits for something other than a slot.
 func (ir ItemRow) blocked() bool {
 	switch ir.Wait {
-	case HeldByOperator, NoEngine, NoneServes, NoVersion, Quarantined, StoreAway:
+	case HeldByOperator, NoEngine, NoneServes, NoVersion, StoreAway:
 		return ir.Stand == ItemWaiting
 	default:
 		return false
--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -20,12 +20,6 @@
 	return digestOf([]byte(customer), []byte(host), []byte(method), []byte(target), body)
 }
 
-// DigestOfItem returns the digest of an item of a step. It includes the item's ID, which is the same
-// at each attempt, as the items of a group may have equal content but run at many engines.
-func DigestOfItem(customer, host, id, path string, body []byte) Digest {
-	return digestOf([]byte(customer), []byte(host), []byte("item"), []byte(id), []byte(path), body)
-}
-
 func digestOf(parts ...[]byte) Digest {
 	ha := sha256.New()
 	for _, part := range parts {
--- a/quarantine/lift.go
+++ b/quarantine/lift.go
@@ -11,18 +11,18 @@
 	"wisteriacroft/keyvalue"
 )
 
-// ErrNotQuarantined means that no crash is recorded for a request or an item.
+// ErrNotQuarantined means that no crash is recorded for a request.
 var ErrNotQuarantined = errors.New("no endpoint crash is recorded for it")
 
-// An Entry describes a request or an item for operators.
+// An Entry describes a request for operators.
 type Entry struct {
 	Digest  Digest        `json:"digest"`
-	HeldFor time.Duration `json:"held-for"` // as a request; 0 means that it may be sent
+	HeldFor time.Duration `json:"held-for"` // 0 means that it may be sent
 	LastEnd time.Time     `json:"last-end"` // of the last crash
 	Strikes int           `json:"strikes"`  // endpoints that crashed since the last success
 }
 
-// Entries returns the requests and items with crashes, those with the most first.
+// Entries returns the requests with crashes, those with the most first.
 func (ta *Table) Entries(now time.Time) []Entry {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
@@ -33,7 +33,7 @@
 			continue
 		}
 		ens = append(ens, Entry{
-			Digest: di, HeldFor: ro.verdict(requestPolicy, now).HeldFor, LastEnd: time.UnixMilli(last).UTC(), Strikes: crashes,
+			Digest: di, HeldFor: ro.verdict(now).HeldFor, LastEnd: time.UnixMilli(last).UTC(), Strikes: crashes,
 		})
 	}
 	slices.SortFunc(ens, func(a, b Entry) int {
@@ -48,7 +48,7 @@
 	return err
 }
 
-// Lift lifts the quarantine of a request or an item, once an operator has fixed the cause of the
+// Lift lifts the quarantine of a request, once an operator has fixed the cause of the
 // crashes. It is stored and propagated like a success.
 func (st *Store) Lift(ctx context.Context, di Digest) error {
 	if err := st.Read(ctx); err != nil {
--- a/quarantine/row.go
+++ b/quarantine/row.go
@@ -31,21 +31,17 @@
 	return now.Sub(time.UnixMilli(max(last, ro.succeededAt))) > ttl
 }
 
-// verdict applies a policy to the request.
-func (ro *row) verdict(po policy, now time.Time) Verdict {
+// verdict returns whether the request may be sent.
+func (ro *row) verdict(now time.Time) Verdict {
 	crashes, last := ro.summary()
 	hold := time.Duration(0)
 	switch {
-	case crashes >= po.blockAfter:
+	case crashes >= blockThreshold:
 		hold = blockTime
-	case crashes >= po.cooldownAfter:
-		hold = po.cooldown
+	case crashes >= cooldownThreshold:
+		hold = cooldown
 	}
 	// Bounded, as the clock of the process that saw the crash may be ahead.
 	held := min(hold-now.Sub(time.UnixMilli(last)), hold)
-	ve := Verdict{HeldFor: max(held, 0), Strikes: crashes}
-	if hold > 0 && held <= 0 {
-		ve.FreeSince = time.UnixMilli(last).Add(hold)
-	}
-	return ve
+	return Verdict{HeldFor: max(held, 0), Strikes: crashes}
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -24,22 +24,17 @@
 }
 
 // Check returns whether a request may be sent now.
-func (ta *Table) Check(di Digest, now time.Time) Verdict { return ta.check(di, requestPolicy, now) }
-
-// CheckItem returns whether an item of a step may be sent now.
-func (ta *Table) CheckItem(di Digest, now time.Time) Verdict { return ta.check(di, itemPolicy, now) }
-
-func (ta *Table) check(di Digest, po policy, now time.Time) Verdict {
+func (ta *Table) Check(di Digest, now time.Time) Verdict {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	ro := ta.rows[di]
 	if ro == nil || ro.expired(now) {
 		return Verdict{}
 	}
-	return ro.verdict(po, now)
+	return ro.verdict(now)
 }
 
-// RecordCrash records that an incarnation of an endpoint crashed while it ran a request or an item.
+// RecordCrash records that an incarnation of an endpoint crashed while it ran a request.
 func (ta *Table) RecordCrash(di Digest, endpoint string, now time.Time) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -4,9 +4,8 @@
 
 // A Verdict states whether a request may be sent.
 type Verdict struct {
-	FreeSince time.Time     // end of the last hold after a crash; zero if there was none
-	HeldFor   time.Duration // how long it must not be sent; 0 means that it may be
-	Strikes   int           // endpoints that crashed since its last success
+	HeldFor time.Duration // how long it must not be sent; 0 means that it may be
+	Strikes int           // endpoints that crashed since its last success
 }
 
 // Held reports whether the request must not be sent to an endpoint now.
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -17,8 +17,9 @@
 const (
 	// crashPrefix is the prefix of the ids of requests that crash endpoints.
 	crashPrefix = "crash-"
-	// crashItem is the item that crashes the engines that run it.
-	crashItem = "step-0-0-0"
+	// crashItem is the sound item under which maxEngineEnds engines crash, one after the other.
+	crashItem     = "step-0-0-0"
+	maxEngineEnds = 7
 	// crashPause is the pause between two crash requests.
 	crashPause = 400 * time.Millisecond
 	// downTime is the time from an endpoint's crash to its restart.
@@ -40,6 +41,17 @@
 	}
 }
 
+// crashByChance returns a function that crashes an engine unless that has happened maxEngineEnds times.
+func (wo *world) crashByChance(crash func()) func() bool {
+	return func() bool {
+		if wo.engineEnds.Add(1) > maxEngineEnds {
+			return false
+		}
+		crash()
+		return true
+	}
+}
+
 // bodyOf returns the body of an item.
 func (rn *run) bodyOf(item string) []byte {
 	if rn.opts.Crashes && item == crashItem {
@@ -78,28 +90,39 @@
 }
 
 // checkCrashes checks that a request that crashes its endpoints is not sent to more of
-// them. Each other fault may delay the quarantine at one process.
+// them, and that an item under which engines have crashed is run all the same.
 func (rn *run) checkCrashes() {
-	var requests, items []time.Time
+	var requests []time.Time
 	for _, no := range rn.plainRuns() {
 		if strings.HasPrefix(no.ID, crashPrefix) {
 			requests = append(requests, no.At)
 		}
 	}
+	rn.report.Crashes = len(requests)
+	rn.checkCrashTimes(requests)
+	if rn.opts.Crashes {
+		rn.checkCrashItem()
+	}
+}
+
+// checkCrashItem checks that crashItem was run to its end. Other faults may end its step sooner.
+func (rn *run) checkCrashItem() {
+	rn.report.EngineCrashes = min(int(rn.world.engineEnds.Load()), maxEngineEnds)
 	for _, en := range rn.world.engines {
-		for _, no := range en.Runs() {
-			if rn.opts.Crashes && no.ID == crashItem {
-				items = append(items, no.At)
+		for _, no := range en.Ends() {
+			if no.ID == crashItem {
+				return
 			}
 		}
 	}
-	rn.report.Crashes, rn.report.EngineCrashes = len(requests), len(items)
-	rn.checkCrashTimes("request", requests)
-	rn.checkCrashTimes("item", items)
+	if rn.opts.Quiet && rn.report.EngineCrashes > 0 {
+		rn.addViolation("item %s under which %d engines had ended was not run to its end", crashItem, rn.report.EngineCrashes)
+	}
 }
 
-// checkCrashTimes checks the times at which a crashing request or item reached endpoints.
-func (rn *run) checkCrashTimes(what string, runs []time.Time) {
+// checkCrashTimes checks the times at which a crashing request reached endpoints. Each other fault may delay the
+// quarantine at one process.
+func (rn *run) checkCrashTimes(runs []time.Time) {
 	if len(runs) < crashLimit {
 		return
 	}
@@ -116,6 +139,6 @@
 		allowed += len(rn.report.Faults)
 	}
 	if later > allowed {
-		rn.addViolation("%s under which %d endpoints had ended was sent to endpoints %d times more, %d in all", what, crashLimit, later, len(runs))
+		rn.addViolation("a request under which %d endpoints had ended was sent to endpoints %d times more, %d in all", crashLimit, later, len(runs))
 	}
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -19,7 +19,7 @@
 type Options struct {
 	Binary    string // the program
 	Bounds    bool   // in a quiet run, check bounds that a slow machine can exceed
-	Crashes   bool   // send requests that crash plain endpoints, and an item that crashes engines
+	Crashes   bool   // send requests that crash plain endpoints, and crash engines under an item
 	Dir       string // for settings and logs
 	DrawParts bool   // random parts, besides Parts
 	Engines   int    // each with an attendant
@@ -35,7 +35,7 @@
 	Calls         int      `json:"calls"`                    // by callers
 	Served        int      `json:"served"`                   // of Calls
 	Crashes       int      `json:"crashes,omitempty"`        // of endpoints by one request
-	EngineCrashes int      `json:"engine_crashes,omitempty"` // of engines by one item
+	EngineCrashes int      `json:"engine_crashes,omitempty"` // of engines under one item
 	Faults        []string `json:"faults"`                   // with their times
 	Items         int      `json:"items"`                    // results read
 	Orders        int      `json:"orders,omitempty"`         // orders of endpoints, by failure domain
--- a/soak/world.go
+++ b/soak/world.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -50,6 +51,7 @@
 	subnet         string
 
 	cancel       context.CancelFunc
+	engineEnds   atomic.Int64 // under crashItem
 	heartbeats   sync.WaitGroup
 	unregistered sync.Map // ids of endpoints that don't register
 }
@@ -140,7 +142,7 @@
 		if err := wo.register(ctx, en.ID, engineService, wo.ip(2, i), en, en.StartedAt, en); err != nil {
 			return err
 		}
-		en.CrashFunc = crashFunc(en.Restart, wo.proxies[plainEndpointCount+i])
+		en.CrashFunc = wo.crashByChance(crashFunc(en.Restart, wo.proxies[plainEndpointCount+i]))
 	}
 	return nil
 }
--- a/step/candidate.go
+++ b/step/candidate.go
@@ -18,7 +18,6 @@
 	full          bool // takes no more items in this round
 	openSlots     int  // number of items that it may still get
 	released      bool // a reserved slot was released in this round
-	runsTrial     bool // runs an isolated trial of an item
 }
 
 // A candidateSummary holds the values that exclude a candidate for most items.
@@ -63,7 +62,6 @@
 	en := ca.engine
 	now, end := en.memoryUse()
 	ca.openSlots, ca.endTokens, ca.contextTokens = pl.countOpenSlots(ca), end, float64((now+end)/2)
-	ca.runsTrial = ta.trials.runsTrial(en.id, pl.now)
 	pl.summaries[i] = pl.summaryOf(ca, now)
 	ca.lagBehindBest = ta.lagBehindBest(en)
 	if !ca.full && ca.openSlots <= 0 && len(en.incoming) == 0 {
@@ -82,7 +80,7 @@
 	en := ca.engine
 	cs := candidateSummary{freeTokens: math.MaxInt, score: en.baseScore(pl.now)}
 	switch {
-	case ca.openSlots <= 0 || ca.runsTrial:
+	case ca.openSlots <= 0:
 		cs.freeTokens = noFreeTokens
 	case en.tokens > 0 && len(en.items) > 0:
 		cs.freeTokens = int(math.Floor(maxMemoryFraction*float64(en.tokens))) - now
--- a/step/capacityplan.go
+++ b/step/capacityplan.go
@@ -27,7 +27,7 @@
 	}
 	ta.plannedAt = now
 	ta.paceRound++
-	ranks := ta.customerRanks(ta.waitingCustomers(now))
+	ranks := ta.customerRanks(ta.waitingCustomers())
 	rows := map[string][]*stepRow{} // by service
 	for _, sr := range ta.openSteps {
 		// A step without a due time is never late and needs no plan.
--- a/step/groupsummary.go
+++ b/step/groupsummary.go
@@ -123,11 +123,11 @@
 func (ir *itemRow) hasEvents() bool { return len(ir.events) > 0 || ir.knownEvents > 0 }
 
 // waitingCustomers returns the customers with waiting items that can start.
-func (ta *Table) waitingCustomers(now time.Time) map[string]bool {
+func (ta *Table) waitingCustomers() map[string]bool {
 	ta.updateSummaries()
 	customers := map[string]bool{}
 	for _, sr := range ta.openSteps {
-		if !customers[sr.step.Customer] && sr.waitingCount > 0 && ta.anyCanStart(sr, now) {
+		if !customers[sr.step.Customer] && sr.waitingCount > 0 && ta.anyCanStart(sr) {
 			customers[sr.step.Customer] = true
 		}
 	}
@@ -135,10 +135,10 @@
 }
 
 // anyCanStart reports whether a step has a waiting item that can start.
-func (ta *Table) anyCanStart(sr *stepRow, now time.Time) bool {
+func (ta *Table) anyCanStart(sr *stepRow) bool {
 	for _, gr := range sr.groupList {
 		for _, ir := range gr.summary.waiting {
-			if !ta.held(ir) && !ta.quarantined(ir, now) {
+			if !ta.held(ir) {
 				return true
 			}
 		}
--- a/step/move.go
+++ b/step/move.go
@@ -109,7 +109,7 @@
 func (ta *Table) bestMoveTarget(ir *itemRow, from *engineRow, reason string, now time.Time) *engineRow {
 	var best *engineRow
 	for _, en := range ta.sortedEngines {
-		if en == from || ta.trials.runsTrial(en.id, now) || en.freeSlots() <= slotsLeftFree || en.slow(now) || !ta.canRunItem(en, ir) || !en.hasMemoryFor(ir) {
+		if en == from || en.freeSlots() <= slotsLeftFree || en.slow(now) || !ta.canRunItem(en, ir) || !en.hasMemoryFor(ir) {
 			continue
 		}
 		switch {
--- a/step/overview.go
+++ b/step/overview.go
@@ -200,8 +200,6 @@
 	switch {
 	case ta.held(ir):
 		return overview.HeldByOperator
-	case ta.quarantined(ir, now):
-		return overview.Quarantined
 	case wait == overview.ToBePlaced && now.Sub(ir.stateSince) > maxPlacingDelay:
 		return overview.HeldBack
 	case (wait == overview.NoPlace || wait == overview.NoMemory) && ta.overloaded(ir.step.step.Service) && !ir.group.plan.InTime():
--- a/step/place.go
+++ b/step/place.go
@@ -118,7 +118,7 @@
 	if pl.openCount == 0 {
 		return
 	}
-	ranks := ta.customerRanks(ta.waitingCustomers(now))
+	ranks := ta.customerRanks(ta.waitingCustomers())
 	// Services don't compete for slots.
 	for _, steps := range ta.stepsByService() {
 		pl.steps = steps
--- a/step/placement.go
+++ b/step/placement.go
@@ -47,20 +47,13 @@
 // can still run the item, or else the best.
 func (pl *placement) assign(ir *itemRow) {
 	ta := pl.table
-	if ta.held(ir) || ta.quarantined(ir, pl.now) {
+	if ta.held(ir) {
 		return
 	}
 	target := ta.engines[ir.moveTarget]
 	pl.releaseReserved(ir)
-	if ta.needsTrial(ir, pl.now) {
-		if en := ta.trialEngine(ir, pl.now); en != nil {
-			ta.trials.start(en.id, ir)
-			pl.startRun(ir, pl.indexOf(en))
-		}
-		return
-	}
 	i := pl.indexOf(target)
-	if i < 0 || pl.candidates[i].openSlots <= 0 || !ta.canRunItem(target, ir) || pl.candidates[i].runsTrial {
+	if i < 0 || pl.candidates[i].openSlots <= 0 || !ta.canRunItem(target, ir) {
 		i = pl.choose(ir)
 	}
 	if i >= 0 {
--- a/step/response.go
+++ b/step/response.go
@@ -125,13 +125,25 @@
 		ta.requeue(ir, "not run: "+pr.Detail, now)
 	case runner.Broken:
 		en.brokeRunAt = now
-		ta.recordEngineEnd(ir, pr, now)
+		ta.logEngineEnd(ir, pr, now)
 		ta.requeue(ir, "broken: "+pr.Detail, now)
 	case runner.Stopped:
 		ta.requeue(ir, "stopped", now)
 	}
 }
 
+// logEngineEnd logs that a run broke because its engine ended. The item is owed all the same: it doesn't make engines
+// end, and is placed again however often that has happened.
+func (ta *Table) logEngineEnd(ir *itemRow, pr runner.Progress, now time.Time) {
+	if !pr.EngineEnded {
+		return
+	}
+	ta.log("engine ended under an item", map[string]any{
+		attemptField: ir.run.key.Attempt, customerField: ir.step.step.Customer, engineField: ir.run.engineID, itemField: ir.item.ID,
+		"run-ms": now.Sub(ir.stateSince).Milliseconds(), stepField: ir.step.step.ID,
+	})
+}
+
 // adopt takes over a run that an earlier scheduler started. It returns false if the run is of no use.
 func (ta *Table) adopt(en *engineRow, pr runner.Progress, now time.Time) bool {
 	sr, ok := ta.steps[pr.Key.Step]
--- a/step/row.go
+++ b/step/row.go
@@ -6,7 +6,6 @@
 	"wisteriacroft/incarnation"
 	"wisteriacroft/listing"
 	"wisteriacroft/overload"
-	"wisteriacroft/quarantine"
 	"wisteriacroft/runner"
 )
 
@@ -24,7 +23,6 @@
 // An itemRow is an item of an open step.
 type itemRow struct {
 	item          *Item
-	digest        quarantine.Digest
 	step          *stepRow
 	state         itemState
 	doneAt        time.Time
--- a/step/scheduler.go
+++ b/step/scheduler.go
@@ -17,7 +17,6 @@
 	"wisteriacroft/message"
 	"wisteriacroft/overview"
 	"wisteriacroft/peer"
-	"wisteriacroft/quarantine"
 	"wisteriacroft/runner"
 	"wisteriacroft/tick"
 )
@@ -76,8 +75,6 @@
 	Metrics  *metrics.Set
 	PeerPort int // of all attendants
 	Pool     *peer.Pool
-	// Quarantine tracks items that crash engines. If nil, each term uses a new table.
-	Quarantine *quarantine.Table
 	// WallFunc receives the wall clock of attendants' instances, in Unix microseconds. May be nil.
 	WallFunc func(instance string, wall int64)
 
--- a/step/share.go
+++ b/step/share.go
@@ -45,7 +45,7 @@
 		elapsed = min(now.Sub(cu.chargedAt), maxElapsed)
 	}
 	cu.chargedAt = now
-	counts := ta.customerCounts(now)
+	counts := ta.customerCounts()
 	cu.account.Advance(ta.customerUses(counts), elapsed)
 	cu.recentSlots.Add(slotsInUse(counts), elapsed, now)
 	if now.Sub(cu.loggedAt) >= rankLogInterval {
@@ -133,7 +133,7 @@
 }
 
 // customerCounts returns the numbers of customers' items in open steps by service.
-func (ta *Table) customerCounts(now time.Time) map[usageKey]itemCounts {
+func (ta *Table) customerCounts() map[usageKey]itemCounts {
 	ta.updateSummaries()
 	counts := map[usageKey]itemCounts{}
 	for _, sr := range ta.openSteps {
@@ -144,7 +144,7 @@
 		} else {
 			ic.waiting += sr.waitingCount
 		}
-		ic.canStart = ic.canStart || sr.waitingCount > 0 && ta.anyCanStart(sr, now)
+		ic.canStart = ic.canStart || sr.waitingCount > 0 && ta.anyCanStart(sr)
 		eventTokens := sr.estimator.eventTokens()
 		for _, gr := range sr.groupList {
 			ic.running += len(gr.summary.running)
--- a/step/table.go
+++ b/step/table.go
@@ -6,7 +6,6 @@
 
 	"wisteriacroft/hold"
 	"wisteriacroft/overload"
-	"wisteriacroft/quarantine"
 	"wisteriacroft/runner"
 )
 
@@ -35,8 +34,7 @@
 	// reusableItems holds items of ended steps, whose texts are reused if their groups are requested
 	// again.
 	reusableItems map[itemKey]*itemRow
-	quarantine    *quarantine.Table // of items that crash engines
-	requests      uint64            // number of requests to attendants
+	requests      uint64 // number of requests to attendants
 	// exchangeStretch is the factor by which exchanges without news are put off; 0 stands for 1.
 	exchangeStretch float64
 	// launchesHeld means that no launch is sent, as the steps of the items may have ended unnoticed. A
@@ -45,7 +43,6 @@
 	rewards      *rewardEstimator
 	usage        customerUsage
 	steps        map[string]*stepRow
-	trials       trials // of items suspected to crash engines
 	// unscored are the items in state scoring.
 	unscored       map[*itemRow]bool
 	stoppedItems   []*itemRow        // moving items whose runs have stopped
@@ -74,7 +71,7 @@
 		log = func(string, map[string]any) {}
 	}
 	ta := &Table{
-		attempt: epoch << attemptBits, epoch: epoch, log: log, quarantine: &quarantine.Table{}, rewards: &rewardEstimator{},
+		attempt: epoch << attemptBits, epoch: epoch, log: log, rewards: &rewardEstimator{},
 		medianBases: map[string]time.Duration{}, bestBases: map[string]time.Duration{}, demand: map[string]float64{},
 		engines: map[string]*engineRow{}, formerEngines: map[string]time.Time{}, estimators: map[string]*tokenEstimator{},
 		knownLengths: map[itemKey]minLength{}, newestVersions: map[string]uint64{}, medianPaces: map[string]time.Duration{},
@@ -139,7 +136,7 @@
 	for i := range st.Items {
 		it := &st.Items[i]
 		ir := &itemRow{
-			digest: quarantine.DigestOfItem(st.Customer, st.Host, it.ID, it.Path, it.Body), index: i, item: it,
+			index: i, item: it,
 			knownEvents: ta.knownLengths[st.itemKey(it)].events, stateSince: now, step: sr,
 		}
 		sr.items = append(sr.items, ir)
@@ -310,12 +307,8 @@
 func (ta *Table) restartStopped(now time.Time) []string {
 	var engines []string
 	for _, ir := range ta.stoppedItems {
-		if ir.state == waiting && ta.quarantined(ir, now) {
-			ta.releaseReserved(ir)
-			continue
-		}
 		en := ta.engines[ir.moveTarget]
-		if ir.state != waiting || en == nil || ta.awaitingEngines(now) || ta.needsTrial(ir, now) || ta.trials.runsTrial(en.id, now) {
+		if ir.state != waiting || en == nil || ta.awaitingEngines(now) {
 			continue
 		}
 		if ta.releaseReserved(ir); en.freeSlots() > 0 && ta.canRunItem(en, ir) {
--- a/step/term.go
+++ b/step/term.go
@@ -66,9 +66,6 @@
 	te.table = NewTable(epoch, func(event string, fields map[string]any) {
 		sc.Log.WithFields(fields).WithField("epoch", te.epoch).Info(event)
 	})
-	if sc.Quarantine != nil {
-		te.table.quarantine = sc.Quarantine
-	}
 	sc.term = te
 	sc.Log.WithField("epoch", epoch).Info("scheduler term started")
 	go sc.follow(ctx, te)
--- a/step/work.go
+++ b/step/work.go
@@ -19,14 +19,14 @@
 }
 
 // openWork returns, for each open step with work, how long one slot would take for the rest of
-// it, and when it is due. Items that can't start, held by an operator or quarantined, are left
-// out: endpoints added for them would be idle.
+// it, and when it is due. Items that are held by an operator are left out:
+// endpoints added for them would be idle.
 func (ta *Table) openWork(now time.Time) map[string]scale.Work {
 	works := map[string]scale.Work{}
 	for _, sr := range ta.openSteps {
 		work := time.Duration(0)
 		for _, ir := range sr.items {
-			if ir.state == running || ir.state == waiting && !ta.held(ir) && !ta.quarantined(ir, now) {
+			if ir.state == running || ir.state == waiting && !ta.held(ir) {
 				work += ir.expectedTime()
 			}
 		}
