Roundtrip, forward, runner: answers without end are bounded in memory and time

Users say that servers in trouble may send bytes without end, in a head or a body. By tests on the former code: a head byte by byte, or interim responses in a row, held an exchange to its deadline or for good; six endless bodies made an entry read 434 MB; a stream that says nothing outlasted its route's timeout; an engine's events stayed in the attendant's memory. Cause: only the sizes of heads and of single bodies (64 MB) were bounded. All are broken exchanges: connection closed, endpoint avoided, repeatable requests go elsewhere. Failed before: TestAnswerWithoutEnd (slow head, slow interim responses: 1 min; body, chunk, chunks: 64 to 98 MB), TestEndlessAnswersFitMemory, TestSilentStreamEndsAtTimeout, TestSilentStreamIsResumed (no end in 12 s).

--- a/engine/http.go
+++ b/engine/http.go
@@ -119,12 +119,15 @@
 	return nil
 }
 
+// maxEmptyChunks is the maximum number of chunks without a token, one after the other.
+const maxEmptyChunks = 100
+
 // readStream emits a stream's chunks until one is Done.
 //
 // To detect truncated or mismatched streams, it requires a last chunk that is Done, and
 // that each chunk has the request's ID and continues where the previous one ended.
 func readStream(sc *bufio.Scanner, req GenerateRequest, emit func(Chunk) error) error {
-	next := len(req.Resume)
+	next, empty := len(req.Resume), 0
 	for sc.Scan() {
 		var ch Chunk
 		if err := json.Unmarshal(sc.Bytes(), &ch); err != nil {
@@ -136,6 +139,12 @@
 		if ch.First != next {
 			return errors.Wrapf(ErrBroken, "chunk at %d came for %d", ch.First, next)
 		}
+		if empty++; len(ch.Tokens) > 0 {
+			empty = 0
+		}
+		if empty > maxEmptyChunks {
+			return errors.Wrapf(ErrBroken, "%d chunks without a token", empty)
+		}
 		next += len(ch.Tokens)
 		if err := emit(ch); err != nil {
 			return err
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -31,6 +31,7 @@
 	header    http.Header
 	heldFor   time.Duration // time for which the request must not be sent again
 	notRun    bool          // the endpoint did not and will not run the request
+	partial   bool          // the body did not end well
 	refusal   *admission.Refusal
 	signature string // signature header of the response
 	status    int
@@ -53,6 +54,11 @@
 	return !repeatable || re.status < http.StatusInternalServerError
 }
 
+// endless reports whether the endpoint was still sending the response when the deadline passed.
+func (re *result) endless(ctx context.Context) bool {
+	return re.partial && errors.Is(ctx.Err(), context.DeadlineExceeded)
+}
+
 // full reports whether the endpoint rejected the request for lack of capacity.
 func (re *result) full() bool {
 	return re.err == nil && re.notRun && re.status != http.StatusMisdirectedRequest
@@ -81,7 +87,7 @@
 		he.Set(fo.Headers.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
 	}
 	an, err := fo.client(en).Do(ctx, roundtrip.Request{
-		Body: rq.body, Header: he, Host: rq.host, ID: rq.id, Method: rq.method, Path: rq.target,
+		Body: rq.body, Header: he, Host: rq.host, ID: rq.id, MaxAnswerSize: maxAnswerSize, Method: rq.method, Path: rq.target,
 	})
 	re.took = time.Since(begun)
 	if err != nil {
@@ -95,7 +101,8 @@
 		return re
 	}
 	defer func() { _ = an.Body.Close() }()
-	re.body, re.err = io.ReadAll(an.Body)
+	re.body, re.err = readAnswer(an.Body, rq, &fo.memory)
+	re.partial = re.err != nil
 	re.took = time.Since(begun)
 	if re.err == nil && !re.notRun && re.signature == "" && an.Status < http.StatusMultipleChoices {
 		re.err = errors.Wrap(errIncomplete, "response has no endpoint signature")
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -66,6 +66,9 @@
 	QuotaFunc func(ctx context.Context, customer string, rate float64) (retry time.Duration, ok bool)
 	// Quarantine holds requests that crash endpoints; nil stands for a table of the forwarder's own.
 	Quarantine *quarantine.Table
+	// StreamSilence is how long a stream may be without an event before it counts as broken. Default: 10 s. On a route with a
+	// long goal it is longer.
+	StreamSilence time.Duration
 	// Usage records the requests that endpoints run; nil records none.
 	Usage *usage.Recorder
 
@@ -234,7 +237,7 @@
 	fo.table.Done(id)
 	defer fo.pump(rq.service)
 	switch {
-	case re.err != nil && ctx.Err() != nil: // the caller disconnected, or the deadline passed
+	case re.err != nil && ctx.Err() != nil && !re.endless(ctx): // the caller disconnected, or the deadline passed
 		fo.table.Slow(id, re.took)
 	case re.err != nil, re.status == http.StatusMisdirectedRequest:
 		penalty := fo.table.Failed(id, now)
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -49,6 +49,19 @@
 	return nil
 }
 
+// addAnswer counts more bytes of the response to a request, of which taken bytes are counted already, and reports whether it
+// may be that large. A response may exceed the limit only if nothing is held for other requests.
+func (me *memory) addAnswer(rq *request, taken, bytes int64) bool {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	others, bound := me.held.Total()-taken-int64(len(rq.body)), me.held.Bound()
+	if taken+bytes > freeAnswerSize && bound > 0 && others > 0 && others+taken+bytes > bound {
+		return false
+	}
+	me.held.Add(rq.customer, bytes)
+	return true
+}
+
 // check returns an error if more bytes of a body do not fit. The caller holds the lock.
 func (me *memory) check(customer string, taken, bytes int64) error {
 	switch {
--- a/roundtrip/body.go
+++ b/roundtrip/body.go
@@ -12,20 +12,22 @@
 type responseBody struct {
 	io.ReadCloser
 	broken     error
-	untilClose bool  // delimited by the end of the connection, so that truncation can't be detected
-	remaining  int64 // remaining bytes up to MaxAnswerSize
+	closed     func() // called by Close
+	limit      int64  // maximum size, in bytes
+	remaining  int64  // remaining bytes up to limit
+	untilClose bool   // delimited by the end of the connection, so that truncation can't be detected
 }
 
-// newResponseBody returns the body of a response, whose read errors wrap broken.
-func newResponseBody(resp *http.Response, broken error) io.ReadCloser {
+// newResponseBody returns the body of a response, at most limit bytes, whose read errors wrap broken. It calls closed when
+// the body is no longer read.
+func newResponseBody(resp *http.Response, broken error, limit int64, closed func()) io.ReadCloser {
 	if resp.Body == http.NoBody {
+		closed()
 		return resp.Body
 	}
 	return &responseBody{
-		ReadCloser: resp.Body,
-		broken:     broken,
+		ReadCloser: resp.Body, broken: broken, closed: closed, limit: limit, remaining: limit,
 		untilClose: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
-		remaining:  MaxAnswerSize,
 	}
 }
 
@@ -35,7 +37,7 @@
 	rb.remaining -= int64(n)
 	switch {
 	case rb.remaining < 0:
-		return n, errors.Wrapf(rb.broken, "answer is larger than %d bytes", int64(MaxAnswerSize))
+		return n, errors.Wrapf(rb.broken, "answer is larger than %d bytes", rb.limit)
 	case err == nil:
 		return n, nil
 	case errors.Is(err, io.EOF) && !rb.untilClose:
@@ -44,3 +46,9 @@
 		return n, errors.Wrapf(rb.broken, "read the answer: %v", err)
 	}
 }
+
+// Close implements io.Closer. If the body has not been read to its end, it closes the connection.
+func (rb *responseBody) Close() error {
+	defer rb.closed()
+	return rb.ReadCloser.Close()
+}
--- a/roundtrip/client.go
+++ b/roundtrip/client.go
@@ -19,7 +19,7 @@
 // IDHeader is the default header for a request's ID, which the server echoes.
 const IDHeader = "X-Request-Id"
 
-// MaxAnswerSize is the maximum size of a response body, in bytes.
+// MaxAnswerSize is the default maximum size of a response body, in bytes.
 const MaxAnswerSize = 64 << 20
 
 // A Client makes exchanges with one server. The error of a failed exchange wraps Broken,
@@ -57,12 +57,13 @@
 
 // A Request is the request of an exchange.
 type Request struct {
-	Body   []byte
-	Header http.Header
-	Host   string // empty for the host of the base URL
-	ID     string // empty to send no ID and to check no echo
-	Method string
-	Path   string // with the query
+	Body          []byte
+	Header        http.Header
+	Host          string // empty for the host of the base URL
+	ID            string // empty to send no ID and to check no echo
+	MaxAnswerSize int64  // replaces the package's MaxAnswerSize unless 0
+	Method        string
+	Path          string // with the query
 }
 
 // A Response is the response of an exchange. The caller must close Body.
@@ -73,17 +74,28 @@
 }
 
 // Do sends a request at most once and returns when the response's header has been read.
+//
+// A header is bounded in size by the transport, and in time from its first byte on, so that a server which sends bytes
+// without end holds neither memory nor the caller.
 func (cl Client) Do(ctx context.Context, req Request) (Response, error) {
 	if err := ctx.Err(); err != nil {
 		return Response{}, errors.Wrapf(cl.NotSent, "%v", err)
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
 	var ct connTracker
-	hr, err := cl.newRequest(httptrace.WithClientTrace(ctx, ct.trace()), req)
+	hg := headGuard{cancel: cancel}
+	defer hg.stop()
+	hr, err := cl.newRequest(httptrace.WithClientTrace(httptrace.WithClientTrace(ctx, ct.trace()), hg.trace()), req)
 	if err != nil {
+		cancel(nil)
 		return Response{}, errors.Wrapf(cl.NotSent, "%v", err)
 	}
 	resp, err := cl.HTTP.Do(hr)
 	if err != nil {
+		if cause := context.Cause(ctx); errors.Is(cause, errEndlessHead) {
+			err = cause
+		}
+		cancel(nil)
 		// The cause of a stalled connection usually affects all open connections. Close
 		// the idle ones, or the next calls would time out on them.
 		cl.HTTP.CloseIdleConnections()
@@ -94,10 +106,12 @@
 	}
 	if echo := resp.Header.Get(cl.idHeader()); req.ID != "" && echo != req.ID {
 		_ = resp.Body.Close()
+		cancel(nil)
 		ct.drop()
 		return Response{}, errors.Wrapf(cl.Crossed, "answer to %q came for %q", echo, req.ID)
 	}
-	return Response{Body: newResponseBody(resp, cl.Broken), Header: resp.Header, Status: resp.StatusCode}, nil
+	body := newResponseBody(resp, cl.Broken, cmp.Or(req.MaxAnswerSize, MaxAnswerSize), func() { cancel(nil) })
+	return Response{Body: body, Header: resp.Header, Status: resp.StatusCode}, nil
 }
 
 // newRequest returns a request that net/http's transport never sends twice.
--- a/runner/run.go
+++ b/runner/run.go
@@ -93,9 +93,18 @@
 	}).Info("run ended")
 }
 
+const (
+	// maxTextSize is the maximum size of the events that one run may make, in bytes. An item with a larger text
+	// could not be listed.
+	maxTextSize = 1 << 20
+	// eventOverhead is the size of an event without its data, in bytes.
+	eventOverhead = 16
+)
+
 // read reads a run's events until the stream ends, and returns the run's state and detail.
 func (rn *Runner) read(ru *run, st Stream) (State, string) {
 	var previous time.Time
+	size := 0
 	for {
 		ev, err := st.NextFunc()
 		if err != nil {
@@ -112,12 +121,16 @@
 			last = ru.events[len(ru.events)-1].ID
 		}
 		gap := ev.ID != last+1
-		if !gap {
+		size += len(ev.Data) + eventOverhead
+		if !gap && size <= maxTextSize {
 			ru.events = append(ru.events, ev)
 		}
 		rn.mu.Unlock()
-		if gap {
+		switch {
+		case gap:
 			return Broken, "an event is missing or came twice"
+		case size > maxTextSize:
+			return Broken, "the text is too large"
 		}
 	}
 }
