--- a/forward/call_test.go
+++ b/forward/call_test.go
@@ -43,6 +43,8 @@
 		{"mismatched", mismatched, nil, "broken", 0, 1},
 		{"mismatched, then answered", mismatched, succeeding, "answered", 0, 2},
 		{"unsigned", unsigned, nil, "broken", 0, 1},
+		{"status 000", statusZero, nil, "broken", 0, 1},
+		{"status 000, then answered", statusZero, succeeding, "answered", 0, 2},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			behaviours := []behaviour{tc.first}
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -82,6 +82,19 @@
 	_, _ = io.WriteString(rw, "another's answer")
 }
 
+// statusZero answers with the status 000, which net/http reads as 0.
+func statusZero(rw http.ResponseWriter, rq *http.Request, run func()) {
+	run()
+	_, _ = io.Copy(io.Discard, rq.Body)
+	co, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = co.Close() }()
+	id := rq.Header.Get(headers.RequestID)
+	_, _ = fmt.Fprintf(co, "HTTP/1.1 000 None\r\n%s: %s\r\n%s: signed\r\nContent-Length: 2\r\n\r\nok", headers.RequestID, id, headers.Signature)
+}
+
 func unsigned(rw http.ResponseWriter, rq *http.Request, run func()) {
 	run()
 	rw.Header().Set(headers.RequestID, rq.Header.Get(headers.RequestID))
@@ -149,6 +162,8 @@
 		{"repeatable, truncated", truncated, directory.Repeatable, 200, 2},
 		{"repeatable, mismatched", mismatched, directory.Repeatable, 200, 2},
 		{"repeatable, unsigned", unsigned, directory.Repeatable, 200, 2},
+		{"repeatable, status 000", statusZero, directory.Repeatable, 200, 2},
+		{"once, status 000", statusZero, directory.AtMostOnce, 504, 1},
 		{"once, refused", full, directory.AtMostOnce, 200, 1},
 		{"once, another endpoint has the address", misdirected, directory.AtMostOnce, 200, 1},
 		{"once, failed", failing, directory.AtMostOnce, 500, 1},
--- a/roundtrip/client.go
+++ b/roundtrip/client.go
@@ -104,6 +104,12 @@
 		}
 		return Response{}, errors.Wrapf(cl.Broken, "%v", err)
 	}
+	if !isAnswer(resp.StatusCode) {
+		_ = resp.Body.Close()
+		cancel(nil)
+		ct.drop()
+		return Response{}, errors.Wrapf(cl.Broken, "status %03d is no answer", resp.StatusCode)
+	}
 	if echo := resp.Header.Get(cl.idHeader()); req.ID != "" && echo != req.ID {
 		_ = resp.Body.Close()
 		cancel(nil)
@@ -148,6 +154,13 @@
 	return hr, nil
 }
 
+// isAnswer reports whether a status is that of a final response. The transport lets others pass, down to 000; interim
+// responses (1xx) it skips, but for the switch to another protocol, which no request asks for.
+func isAnswer(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
+// maxStatus is the highest status of HTTP.
+const maxStatus = 599
+
 func (cl Client) idHeader() string { return cmp.Or(cl.IDHeader, IDHeader) }
 
 // usuallyWithoutBody reports whether requests of a method usually have no body, so that the
