--- a/step/response.go
+++ b/step/response.go
@@ -15,7 +15,7 @@
 		return
 	}
 	if en.boot != "" && en.boot != re.Boot {
-		ta.requeueRuns(en, "attendant has started again", now)
+		ta.requeueConfirmed(en, "attendant has started again", now)
 	}
 	en.boot = re.Boot
 	ta.applyReport(en, re, now)
@@ -93,7 +93,8 @@
 	}
 	ir, ok := en.items[pr.Key]
 	if !ok {
-		if !ta.adopt(en, pr, now) {
+		// What the attendant is to forget must not be taken over: it would end, and no response would say so.
+		if en.toForget[pr.Key] || !ta.adopt(en, pr, now) {
 			en.toForget[pr.Key] = true
 			return
 		}
