--- a/cmd/platformhost.go
+++ b/cmd/platformhost.go
@@ -85,7 +85,7 @@
 				return forward.Dialer().DialContext(ctx, "tcp", address)
 			},
 		},
-		quarantine: &quarantine.Table{},
+		quarantine: &quarantine.Table{Spread: quarantine.SpreadOf(se.Instance)},
 		settings:   se,
 		store:      store,
 	}
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,3 +57,37 @@
 	}
 	return ve
 }
+
+// trialRetry is the Retry-After of a request that another one tries out: about the time of an answer.
+const trialRetry = 200 * time.Millisecond
+
+// A trials holds the requests that are being tried out. The zero value is ready to use.
+type trials struct {
+	mu      sync.Mutex
+	running map[quarantine.Digest]bool
+}
+
+// startTrial returns a function to call after a request, or the rejection of one that must be tried alone while another of its
+// kind is under way: together they would crash several endpoints.
+func (fo *Forwarder) startTrial(rq *request) (func(), *rejection) {
+	if !fo.quarantine().Check(rq.digest, time.Now()).MustTry() {
+		return func() {}, nil
+	}
+	tr := &fo.trials
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if tr.running[rq.digest] {
+		return nil, &rejection{
+			customer: rq.customer, reason: "a request of its kind is being tried out", retryAfter: trialRetry, status: http.StatusServiceUnavailable,
+		}
+	}
+	if tr.running == nil {
+		tr.running = map[quarantine.Digest]bool{}
+	}
+	tr.running[rq.digest] = true
+	return func() {
+		tr.mu.Lock()
+		defer tr.mu.Unlock()
+		delete(tr.running, rq.digest)
+	}, nil
+}
--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"wisteriacroft/directory"
+	"wisteriacroft/quarantine"
 )
 
 // crashBody is the body of the request that crashes every endpoint that runs it.
@@ -128,3 +129,30 @@
 	}
 	assert.Equal(t, len(de.forwarder.quarantine().Records(time.Now())), 0, "it isn't held against live requests either")
 }
+
+// Failure: servers crash together under a sound request, and it is refused for a day, by all entries.
+func TestSoundRequestIsTriedAfterCrashesAndServedAgain(t *testing.T) {
+	busy := make(chan struct{})
+	waits := func(rw http.ResponseWriter, rq *http.Request, run func()) {
+		run()
+		<-busy
+		sign(rw, rq)
+	}
+	de := deploy(t, directory.Route{Kind: directory.Repeatable, MaxAttempts: 2}, waits, waits)
+	de.forwarder.Quarantine = &quarantine.Table{Spread: 1}
+	di := quarantine.DigestOf("", "desk", http.MethodPost, "/a", []byte("line"))
+	crashed := time.Now().Add(-time.Minute)
+	for _, endpoint := range []string{"a", "b", "c"} {
+		de.forwarder.Quarantine.RecordCrash(di, endpoint, crashed)
+	}
+	first := de.send(t, "/a")
+	waitUntil(t, "the trial", func() bool { return de.runs.Load() == 1 })
+	for range 3 {
+		assert.Equal(t, (<-de.send(t, "/a")).status, http.StatusServiceUnavailable, "one is tried at a time")
+	}
+	assert.Equal(t, de.runs.Load(), int64(1))
+	close(busy)
+	assert.Equal(t, (<-first).status, http.StatusOK)
+	waitUntil(t, "the success", func() bool { return !de.forwarder.Quarantine.Check(di, time.Now()).Suspect() })
+	assert.Equal(t, (<-de.send(t, "/a")).status, http.StatusOK)
+}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -79,6 +79,7 @@
 	mu            sync.Mutex
 	ownQuarantine quarantine.Table
 	table         Table
+	trials        trials
 	slotUsage     slotUsage
 }
 
@@ -99,6 +100,12 @@
 		return
 	}
 	defer fo.releaseMemory(rq)
+	endTrial, rj := fo.startTrial(rq)
+	if rj != nil {
+		fo.reject(rw, hr, rj)
+		return
+	}
+	defer endTrial()
 	ctx, answered := withDeadline(hr.Context(), rq.deadline)
 	fo.Budget.Deposit()
 	if rq.streaming() {
--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -20,6 +20,12 @@
 	return digestOf([]byte(customer), []byte(host), []byte(method), []byte(target), body)
 }
 
+// SpreadOf returns the Table.Spread of an instance.
+func SpreadOf(instance string) float64 {
+	sum := sha256.Sum256([]byte(instance))
+	return float64(binary.BigEndian.Uint32(sum[:])) / (1 << 32)
+}
+
 func digestOf(parts ...[]byte) Digest {
 	ha := sha256.New()
 	for _, part := range parts {
--- a/quarantine/lift.go
+++ b/quarantine/lift.go
@@ -33,7 +33,7 @@
 			continue
 		}
 		ens = append(ens, Entry{
-			Digest: di, HeldFor: ro.verdict(now).HeldFor, LastEnd: time.UnixMilli(last).UTC(), Strikes: crashes,
+			Digest: di, HeldFor: ro.verdict(ta.Spread, now).HeldFor, LastEnd: time.UnixMilli(last).UTC(), Strikes: crashes,
 		})
 	}
 	slices.SortFunc(ens, func(a, b Entry) int {
--- a/quarantine/row.go
+++ b/quarantine/row.go
@@ -25,23 +25,32 @@
 func (ro *row) expired(now time.Time) bool {
 	crashes, last := ro.summary()
 	ttl := suspectTTL
-	if crashes >= blockThreshold {
+	if crashes >= trialThreshold {
 		ttl = blockTime
 	}
 	return now.Sub(time.UnixMilli(max(last, ro.succeededAt))) > ttl
 }
 
-// verdict returns whether the request may be sent.
-func (ro *row) verdict(now time.Time) Verdict {
+// verdict returns whether the request may be sent by a process with the given spread.
+func (ro *row) verdict(spread float64, now time.Time) Verdict {
 	crashes, last := ro.summary()
-	hold := time.Duration(0)
+	hold := holdAfter(crashes, spread)
+	// Bounded, as the clock of the process that saw the crash may be ahead.
+	held := min(hold-now.Sub(time.UnixMilli(last)), hold)
+	return Verdict{HeldFor: max(held, 0), Strikes: crashes}
+}
+
+// holdAfter returns how long a request is held after its last crash.
+func holdAfter(crashes int, spread float64) time.Duration {
 	switch {
 	case crashes >= blockThreshold:
-		hold = blockTime
+		return blockTime
+	case crashes >= trialThreshold:
+		hold := cooldown << (crashes - trialThreshold)
+		return hold + time.Duration(spread*float64(hold/spreadDivisor))
 	case crashes >= cooldownThreshold:
-		hold = cooldown
+		return cooldown
+	default:
+		return 0
 	}
-	// Bounded, as the clock of the process that saw the crash may be ahead.
-	held := min(hold-now.Sub(time.UnixMilli(last)), hold)
-	return Verdict{HeldFor: max(held, 0), Strikes: crashes}
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -15,6 +15,10 @@
 // A Table records the requests that crashed endpoints. Records of other processes can be merged
 // in any order. The zero value is empty and ready to use. It is safe for concurrent use.
 type Table struct {
+	// Spread is when this process tries a request that may crash endpoints, compared with others, from 0 to 1. It must be
+	// set before use.
+	Spread float64
+
 	changes    broadcast.Signal
 	generation uint64
 	wake       chan struct{}
@@ -31,7 +35,7 @@
 	if ro == nil || ro.expired(now) {
 		return Verdict{}
 	}
-	return ro.verdict(now)
+	return ro.verdict(ta.Spread, now)
 }
 
 // RecordCrash records that an incarnation of an endpoint crashed while it ran a request.
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -14,3 +14,6 @@
 // Suspect reports whether an endpoint has crashed while running the request. Such a request may
 // run at one endpoint at a time only.
 func (ve Verdict) Suspect() bool { return ve.Strikes > 0 }
+
+// MustTry reports whether the request may be sent by one caller at a time only.
+func (ve Verdict) MustTry() bool { return ve.Strikes >= trialThreshold }
