--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -82,19 +82,6 @@
 	_, _ = io.WriteString(rw, "another's answer")
 }
 
-// statusZero answers with the status 000, which net/http reads as 0.
-func statusZero(rw http.ResponseWriter, rq *http.Request, run func()) {
-	run()
-	_, _ = io.Copy(io.Discard, rq.Body)
-	co, _, err := http.NewResponseController(rw).Hijack()
-	if err != nil {
-		panic(err)
-	}
-	defer func() { _ = co.Close() }()
-	id := rq.Header.Get(headers.RequestID)
-	_, _ = fmt.Fprintf(co, "HTTP/1.1 000 None\r\n%s: %s\r\n%s: signed\r\nContent-Length: 2\r\n\r\nok", headers.RequestID, id, headers.Signature)
-}
-
 func unsigned(rw http.ResponseWriter, rq *http.Request, run func()) {
 	run()
 	rw.Header().Set(headers.RequestID, rq.Header.Get(headers.RequestID))
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -162,21 +162,6 @@
 	}
 }
 
-// Abstain sets whether Run and Step leave a free lease to other processes. An acquisition that is under way is not
-// affected; Release waits for its end.
-func (ho *Holder) Abstain(abstain bool) {
-	ho.mu.Lock()
-	defer ho.mu.Unlock()
-	ho.abstains = abstain
-}
-
-// mayClaim reports whether the process may acquire a free lease.
-func (ho *Holder) mayClaim() bool {
-	ho.mu.Lock()
-	defer ho.mu.Unlock()
-	return !ho.abstains
-}
-
 // Run acquires and renews the lease until ctx ends. It does not release it.
 //
 // Each holder steps at a phase of its own, to prevent all of them from trying to acquire a free
--- a/standby/member.go
+++ b/standby/member.go
@@ -101,26 +101,28 @@
 	me.Log.WithField("holder", me.Holder()).Info("standing by for the lease")
 }
 
-// reportWhile reports to the holder while the process has to do what it does: to stand by, or to be idle.
+// reportWhile reports to the holder while the process has to do what it does: to stand by, or to be idle. An idle process
+// also returns if the lease is vacant.
 func (me *Member) reportWhile(ctx context.Context, standing bool) {
 	failures := 0
 	for ctx.Err() == nil {
 		as, err := me.report(ctx, me.currentHolder(standing), standing)
-		switch {
-		case err == nil:
-			failures = 0
-		case standing:
-		case me.isVacant(ctx, &failures):
-			return
+		if err != nil {
+			pause(ctx)
+			if !standing && me.isVacant(ctx, &failures) {
+				return
+			}
+			continue
 		}
+		failures = 0
 		if as.Retire {
 			me.RetireFunc()
 		}
-		if err == nil && as.StandBy != standing && !me.retiring.Load() && !me.Lease.HeldFunc() {
-			return
-		}
-		if err != nil || me.retiring.Load() {
+		switch {
+		case me.retiring.Load():
 			pause(ctx)
+		case as.StandBy != standing && !me.Lease.HeldFunc():
+			return
 		}
 	}
 }
@@ -134,10 +136,9 @@
 	return *me.holder.Load()
 }
 
-// isVacant looks for the holder after an idle process couldn't report to it. It reports whether the lease
-// has no holder, or one that can't be reached. While the key-value service is unavailable, neither is known.
+// isVacant looks for the holder after an idle process couldn't report to it, and counts its failures. It reports whether the
+// lease has no holder, or one that can't be reached. While the key-value service is unavailable, neither is known.
 func (me *Member) isVacant(ctx context.Context, failures *int) bool {
-	pause(ctx)
 	address, err := me.lookUp(ctx)
 	switch {
 	case errors.Is(err, keyvalue.ErrNotFound) || err == nil && address == me.Address:
--- a/step/engines.go
+++ b/step/engines.go
@@ -77,23 +77,6 @@
 	maps.DeleteFunc(ta.formerEngines, func(_ string, gone time.Time) bool { return now.Sub(gone) > formerEngineTTL })
 }
 
-// requeueRuns requeues an engine's runs.
-func (ta *Table) requeueRuns(en *engineRow, reason string, now time.Time) {
-	for _, ir := range en.items {
-		ta.requeue(ir, reason, now)
-	}
-}
-
-// requeueConfirmed requeues the runs that an attendant had confirmed before it started again. The others are launched at
-// its new start, perhaps by the request that it has just responded to.
-func (ta *Table) requeueConfirmed(en *engineRow, reason string, now time.Time) {
-	for _, ir := range en.items {
-		if ir.run.confirmed {
-			ta.requeue(ir, reason, now)
-		}
-	}
-}
-
 // SetVersion records a published version of a model. Versions older than the newest are ignored.
 func (ta *Table) SetVersion(model string, version uint64) {
 	ta.newestVersions[model] = max(ta.newestVersions[model], version)
